--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,7 +19,7 @@
 		SilenceErrors: false,
 	}
 	root.AddCommand(
-		newEntry(), newSidecar(), newDemo(), newStandIn(),
+		newEntry(), newSidecar(), newGateway(), newDemo(), newStandIn(),
 		newDeclare(), newStatus(), newLoad(), newCapacity(), newVersion(), newDocs(),
 	)
 	return root
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -33,6 +33,8 @@
 	// links says that the listen address accepts links.
 	links       bool
 	stopTimeout time.Duration
+	// logTo takes the log lines; standard error when nil.
+	logTo io.Writer
 }
 
 const takesAddress = "an IP address and a port, such as 127.0.0.1:8080"
@@ -155,7 +157,11 @@
 
 // start sets up logs, metrics and traces, and opens the admin listener.
 func (p *process) start(ctx context.Context) (*running, error) {
-	logs, err := telemetry.NewLogs(os.Stderr, p.logLevels)
+	out := p.logTo
+	if out == nil {
+		out = os.Stderr
+	}
+	logs, err := telemetry.NewLogs(out, p.logLevels)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,288 @@
+// Package dispatch decides which backend servers a request is sent to, without a process of its own beside each of
+// them. A Planner counts what its gateway has sent, adds what other gateways tell of theirs, and learns from outcomes
+// which backend servers are better avoided. It is owned by one gateway, must be used by one goroutine at a time, reads no
+// clock and does no input or output.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylward.example/berylward/internal/roster"
+	"berylward.example/berylward/internal/route"
+)
+
+// Work describes what a request asks of a backend server.
+type Work struct {
+	// Engine is nil for a plain service.
+	Engine *route.Engine
+	// Prompt and Answer are in tokens; Answer is the number expected.
+	Prompt, Answer int64
+	// Target is the time to the first event, or to the whole answer of a plain service.
+	Target time.Duration
+	// ColdPerSecond bounds the requests to one cold backend server from all gateways; zero means no bound.
+	ColdPerSecond float64
+	// Fingerprint identifies requests that are the same; zero when it does not matter.
+	Fingerprint uint64
+}
+
+// Read returns how long one engine reads the prompt alone.
+func (w Work) Read() time.Duration { return w.Engine.ReadTime(w.Prompt) }
+
+// Short says whether the request is one of those that long reading must not hold up.
+func (w Work) Short() bool { return w.Read() <= shortRead }
+
+// Placement says where a request goes. It is a sealed interface: Send, Joint and Nowhere are its only implementations.
+//
+//sumtype:decl
+type Placement interface{ placement() }
+
+// Send names the one backend server to send to.
+type Send struct {
+	Server *roster.Server
+	// Expected is the predicted time to the first event.
+	Expected time.Duration
+}
+
+// Joint names the backend servers that read a prompt together. Servers[0] gets the request and answers it.
+type Joint struct {
+	Servers []*roster.Server
+	// Part is how long each of them reads.
+	Part time.Duration
+	// Reserved means that the prompt's memory has to be reserved at each of them first.
+	Reserved bool
+	Expected time.Duration
+}
+
+// Reason says why a request goes nowhere.
+type Reason string
+
+// The reasons.
+const (
+	// NoServer means that no backend server of the service may get new work.
+	NoServer Reason = "no-server"
+	// AllTried means that each was tried, or refused.
+	AllTried Reason = "all-tried"
+	// AllCold means that those in service are cold and have got what they bear this second.
+	AllCold Reason = "all-cold"
+	// TooLarge means that the prompt exceeds the memory of all engines together.
+	TooLarge Reason = "too-large"
+)
+
+// Nowhere means that the request cannot be sent now.
+type Nowhere struct {
+	Reason Reason
+	// RetryAfter is when it may be possible.
+	RetryAfter time.Duration
+}
+
+func (Send) placement()    {}
+func (Joint) placement()   {}
+func (Nowhere) placement() {}
+
+// Ticket identifies one placed request until it ends.
+type Ticket uint64
+
+// Key identifies a backend server's life among gateways.
+type Key uint64
+
+// KeyOf returns the key of a backend server.
+func KeyOf(s *roster.Server) Key {
+	return Key(xxhash.Sum64String(s.ID) ^ uint64(s.Born.UnixMilli())*0x9e3779b97f4a7c15)
+}
+
+// Load is what one gateway has outstanding at one backend server.
+type Load struct {
+	Key Key
+	// Short and Long are requests that have not ended, by the class of their prompt.
+	Short, Long int
+	// Unread is reading that has not ended, Memory the tokens held.
+	Unread time.Duration
+	Memory int64
+	// Avoid is for how long the gateway avoids the backend server because of failures.
+	Avoid time.Duration
+}
+
+// job is one placed request.
+type job struct {
+	servers []*state
+	part    time.Duration
+	memory  int64
+	short   bool
+	begun   bool
+}
+
+// state is what is known of one life of a backend server.
+type state struct {
+	key  Key
+	own  Load
+	seen time.Time
+	// recent failures by outcome, and until when the server is avoided.
+	failures   int
+	avoidUntil time.Time
+	errors     rate
+	cold       coldLimit
+}
+
+// Planner decides on placements.
+type Planner struct {
+	zone   string
+	random *rand.Rand
+	states map[Key]*state
+	jobs   map[Ticket]*job
+	next   Ticket
+	// peers holds what each other gateway told last.
+	peers    map[string]*report
+	gateways int
+	services map[*route.Engine]struct{}
+	changed  bool
+	scratch  []view
+}
+
+// report is what one gateway told.
+type report struct {
+	at    time.Time
+	loads map[Key]Load
+}
+
+// Option configures a Planner.
+type Option func(*Planner)
+
+// WithSource sets the source of randomness.
+func WithSource(source rand.Source) Option {
+	return func(p *Planner) { p.random = rand.New(source) }
+}
+
+// NewPlanner returns a planner for a gateway in a zone.
+func NewPlanner(zone string, options ...Option) *Planner {
+	p := &Planner{
+		zone: zone, random: rand.New(rand.NewPCG(1, 2)), states: map[Key]*state{}, jobs: map[Ticket]*job{},
+		peers: map[string]*report{}, gateways: 1,
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+func (p *Planner) state(s *roster.Server) *state {
+	key := KeyOf(s)
+	st := p.states[key]
+	if st == nil {
+		st = &state{key: key, own: Load{Key: key}}
+		p.states[key] = st
+	}
+	return st
+}
+
+// Forget drops what is known of a backend server that is gone. Requests that still run there stay counted.
+func (p *Planner) Forget(s *roster.Server) {
+	key := KeyOf(s)
+	if st := p.states[key]; st != nil && st.own.Short+st.own.Long == 0 {
+		delete(p.states, key)
+	}
+}
+
+// SetGateways tells how many gateways there are, this one included. Limits on cold backend servers are shared evenly.
+func (p *Planner) SetGateways(n int) { p.gateways = max(n, 1) }
+
+// Heard takes the loads that another gateway told, in place of those it told before.
+func (p *Planner) Heard(now time.Time, gateway string, loads []Load) {
+	r := &report{at: now, loads: make(map[Key]Load, len(loads))}
+	for _, l := range loads {
+		r.loads[l.Key] = l
+	}
+	p.peers[gateway] = r
+}
+
+// Loads returns what this gateway has outstanding, and whether it changed since the last call.
+func (p *Planner) Loads(now time.Time) ([]Load, bool) {
+	changed := p.changed
+	p.changed = false
+	loads := make([]Load, 0, len(p.states))
+	for _, st := range p.states {
+		l := st.own
+		l.Avoid = max(0, st.avoidUntil.Sub(now))
+		if l.Short+l.Long > 0 || l.Unread > 0 || l.Avoid > 0 {
+			loads = append(loads, l)
+		}
+	}
+	return loads, changed
+}
+
+// Placed records that a request goes to a backend server, or to several. The ticket is needed for Begun and Ended.
+func (p *Planner) Placed(now time.Time, w Work, place Placement) Ticket {
+	j := &job{short: w.Short(), part: w.Read()}
+	switch place := place.(type) {
+	case Send:
+		j.servers = []*state{p.state(place.Server)}
+		j.memory = w.Prompt + w.Answer
+	case Joint:
+		for _, s := range place.Servers {
+			j.servers = append(j.servers, p.state(s))
+		}
+		j.part = place.Part
+		j.memory = w.Prompt + w.Answer
+		if place.Reserved {
+			j.memory /= int64(len(place.Servers))
+		}
+	case Nowhere:
+		return 0
+	}
+	for i, st := range j.servers {
+		st.own.Unread += j.part
+		if i > 0 {
+			continue
+		}
+		st.own.Memory += j.memory
+		if j.short {
+			st.own.Short++
+		} else {
+			st.own.Long++
+		}
+		st.cold.note(now)
+	}
+	p.changed = true
+	p.next++
+	p.jobs[p.next] = j
+	return p.next
+}
+
+// Begun records the first event of a request: its prompt has been read everywhere.
+func (p *Planner) Begun(t Ticket) {
+	if j := p.jobs[t]; j != nil {
+		p.read(j)
+	}
+}
+
+func (p *Planner) read(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	p.changed = true
+	for _, st := range j.servers {
+		st.own.Unread -= j.part
+	}
+}
+
+// Ended records how a request ended at its backend server.
+func (p *Planner) Ended(now time.Time, t Ticket, o Outcome) {
+	j := p.jobs[t]
+	if j == nil {
+		return
+	}
+	delete(p.jobs, t)
+	p.read(j)
+	p.changed = true
+	st := j.servers[0]
+	st.own.Memory -= j.memory
+	if j.short {
+		st.own.Short--
+	} else {
+		st.own.Long--
+	}
+	st.learn(now, o)
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"berylward.example/berylward/internal/roster"
+)
+
+const (
+	// shortRead is the longest reading of a prompt in the class of short ones.
+	shortRead = 150 * time.Millisecond
+	// packLimit is how many short requests one engine gets before the next engine is used for them. Short requests
+	// are packed so that other engines are free for long reading, which makes every stream on its engine pause.
+	packLimit = 10
+	// packUnread is the longest outstanding reading of an engine that short requests are packed on.
+	packUnread = 90 * time.Millisecond
+	// spillUnread is the longest outstanding reading, the new part included, that a long prompt may cause on an engine
+	// with short requests. A longer one makes their streams late.
+	spillUnread = 140 * time.Millisecond
+	// wantedShare of its target is the time in which a long prompt should be read; a joint reading takes no more engines
+	// than that needs.
+	wantedShare = 0.35
+	// lateShare of its target is the predicted reading time from which a long prompt may use engines with short requests.
+	lateShare = 0.7
+	// maxReaders is how many engines read one prompt at most.
+	maxReaders = 16
+	// leastPart is the shortest part of a joint reading; shorter ones gain nothing over the time of a pass.
+	leastPart = 60 * time.Millisecond
+	// memoryShare of an engine's memory may be planned, because answers are longer than expected at times.
+	memoryShare = 0.92
+	// queuedStep is the cost of each request beyond an engine's slots.
+	queuedStep = 150 * time.Millisecond
+	// peerLife is how long the loads told by another gateway count.
+	peerLife = 2 * time.Second
+	// passTime is a typical pass of an engine with writers, after which a new prompt is read.
+	passTime = 60 * time.Millisecond
+)
+
+// view is one backend server with its load from all gateways.
+type view struct {
+	server *roster.Server
+	state  *state
+	total  Load
+	avoid  bool
+}
+
+func (v *view) requests() int { return v.total.Short + v.total.Long }
+
+// Place chooses among the backend servers in service. tried are the IDs of those that had this request before.
+func (p *Planner) Place(now time.Time, w Work, servers []*roster.Server, tried []string) Placement {
+	if len(servers) == 0 {
+		return Nowhere{Reason: NoServer, RetryAfter: retryNoServer}
+	}
+	views, cold := p.views(now, w, servers, tried)
+	if len(views) == 0 {
+		if cold {
+			return Nowhere{Reason: AllCold, RetryAfter: retryCold}
+		}
+		return Nowhere{Reason: AllTried, RetryAfter: retryTried}
+	}
+	switch {
+	case w.Engine == nil:
+		return p.plain(views)
+	case w.Short():
+		return p.short(w, views)
+	}
+	return p.long(w, views)
+}
+
+const (
+	// retryNoServer is when a caller may come back to a service without backend servers.
+	retryNoServer = 500 * time.Millisecond
+	// retryCold and retryTried are when a cold or refusing backend server may take a request.
+	retryCold  = 300 * time.Millisecond
+	retryTried = 200 * time.Millisecond
+)
+
+// views returns the backend servers that may be asked, those that are avoided only when there are no others.
+func (p *Planner) views(now time.Time, w Work, servers []*roster.Server, tried []string) ([]view, bool) {
+	p.scratch = p.scratch[:0]
+	cold, healthy := false, 0
+	var mean float64
+	for _, s := range servers {
+		mean += float64(p.state(s).errors) / float64(len(servers))
+	}
+	for _, s := range servers {
+		if slices.Contains(tried, s.ID) {
+			continue
+		}
+		st := p.state(s)
+		if w.ColdPerSecond > 0 && now.Before(s.ColdUntil) && !st.cold.bears(now, w.ColdPerSecond/float64(p.gateways)) {
+			cold = true
+			continue
+		}
+		v := view{server: s, state: st, total: st.own}
+		v.avoid = now.Before(st.avoidUntil) || float64(st.errors) > mean+errorMargin
+		for _, r := range p.peers {
+			if now.Sub(r.at) > peerLife {
+				continue
+			}
+			if l, ok := r.loads[st.key]; ok {
+				v.total.Short += l.Short
+				v.total.Long += l.Long
+				v.total.Unread += l.Unread
+				v.total.Memory += l.Memory
+				v.avoid = v.avoid || now.Sub(r.at) < l.Avoid
+			}
+		}
+		if !v.avoid {
+			healthy++
+		}
+		p.scratch = append(p.scratch, v)
+	}
+	if healthy > 0 && healthy < len(p.scratch) {
+		p.scratch = slices.DeleteFunc(p.scratch, func(v view) bool { return v.avoid })
+	}
+	return p.scratch, cold
+}
+
+// plain chooses by requests for each slot, then by zone.
+func (p *Planner) plain(views []view) Placement {
+	best, bestCost := 0, 0.0
+	offset := p.random.IntN(len(views))
+	for n := range views {
+		i := (n + offset) % len(views)
+		v := &views[i]
+		cost := float64(v.requests()) / float64(max(v.server.Slots, 1))
+		if v.server.Zone != p.zone {
+			cost += otherZone
+		}
+		if n == 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return Send{Server: views[best].server}
+}
+
+// otherZone is the cost of another zone in shares of a plain backend server's slots.
+const otherZone = 0.12
+
+// short packs short prompts on engines that have some already, below a limit, and otherwise takes the engine that is
+// free first.
+func (p *Planner) short(w Work, views []view) Placement {
+	read := w.Read()
+	best := -1
+	for i := range views {
+		v := &views[i]
+		if v.total.Short == 0 || v.total.Short >= packLimit || v.total.Unread > packUnread || v.requests() >= w.Engine.Slots {
+			continue
+		}
+		if best < 0 || p.packsBefore(v, &views[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		best = p.soonest(w, views)
+	}
+	v := &views[best]
+	return Send{Server: v.server, Expected: v.total.Unread + read + passTime}
+}
+
+func (p *Planner) packsBefore(a, b *view) bool {
+	if a.total.Short != b.total.Short {
+		return a.total.Short > b.total.Short
+	}
+	return a.server.Zone == p.zone && b.server.Zone != p.zone
+}
+
+// soonest returns the engine that will have read a new prompt first.
+func (p *Planner) soonest(w Work, views []view) int {
+	best, bestCost := 0, time.Duration(0)
+	for i := range views {
+		v := &views[i]
+		cost := v.total.Unread + time.Duration(v.requests())*passTime/8
+		if over := v.requests() - w.Engine.Slots + 1; over > 0 {
+			cost += time.Duration(over) * queuedStep
+		}
+		if w.Engine.MemoryTokens > 0 && !fits(w, v, w.Prompt+w.Answer) {
+			cost += time.Second
+		}
+		if i == 0 || cost < bestCost || cost == bestCost && v.server.Zone == p.zone && views[best].server.Zone != p.zone {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func fits(w Work, v *view, tokens int64) bool {
+	return float64(v.total.Memory+tokens) <= memoryShare*float64(w.Engine.MemoryTokens)
+}
+
+// long reads a prompt on as few engines as bring its first event in time, preferably on those without short requests.
+func (p *Planner) long(w Work, views []view) Placement {
+	slices.SortStableFunc(views, func(a, b view) int {
+		return cmp.Or(cmp.Compare(min(a.total.Short, 1), min(b.total.Short, 1)), cmp.Compare(a.total.Unread, b.total.Unread))
+	})
+	free := slices.IndexFunc(views, func(v view) bool { return v.total.Short > 0 })
+	if free < 0 {
+		free = len(views)
+	}
+	read := w.Read()
+	count, expected := readers(read, views[:free], time.Duration(wantedShare*float64(w.Target)))
+	if count == 0 || expected > time.Duration(lateShare*float64(w.Target)) {
+		count, expected = p.spill(w, read, views, free, count, expected)
+	}
+	chosen := views[:count]
+	needs := w.Prompt + w.Answer
+	reserved := float64(needs) > memoryShare*float64(w.Engine.MemoryTokens)
+	first := 0
+	for i := range chosen {
+		a, b := &chosen[i], &chosen[first]
+		if fits(w, a, needs) != fits(w, b, needs) {
+			if fits(w, a, needs) {
+				first = i
+			}
+			continue
+		}
+		if a.total.Short != b.total.Short {
+			if a.total.Short < b.total.Short {
+				first = i
+			}
+			continue
+		}
+		if a.total.Memory < b.total.Memory {
+			first = i
+		}
+	}
+	chosen[0], chosen[first] = chosen[first], chosen[0]
+	if count == 1 && !reserved {
+		return Send{Server: chosen[0].server, Expected: expected}
+	}
+	j := Joint{Part: read / time.Duration(count), Reserved: reserved, Expected: expected}
+	for i := range chosen {
+		j.Servers = append(j.Servers, chosen[i].server)
+	}
+	return j
+}
+
+// readers returns how many of the engines, which are sorted by outstanding reading, read a prompt together, and when
+// they will have read it: the fewest that are done within wanted, otherwise those that are done first.
+func readers(read time.Duration, views []view, wanted time.Duration) (count int, done time.Duration) {
+	for n := 1; n <= min(len(views), maxReaders); n++ {
+		part := read / time.Duration(n)
+		if n > 1 && part < leastPart {
+			break
+		}
+		at := views[n-1].total.Unread + part + passTime
+		if count == 0 || at < done {
+			count, done = n, at
+		}
+		if at <= wanted {
+			return n, at
+		}
+	}
+	return count, done
+}
+
+// spill adds engines with short requests where the part that each of them reads stays below spillUnread.
+func (p *Planner) spill(w Work, read time.Duration, views []view, free, count int, expected time.Duration) (int, time.Duration) {
+	for n := max(count, free) + 1; n <= min(len(views), maxReaders); n++ {
+		part := read / time.Duration(n)
+		worst := time.Duration(0)
+		for i := range n {
+			worst = max(worst, views[i].total.Unread)
+		}
+		if views[n-1].total.Unread+part > spillUnread && count > 0 {
+			continue
+		}
+		if at := worst + part + passTime; count == 0 || at < expected {
+			count, expected = n, at
+		}
+	}
+	if count == 0 {
+		count, expected = 1, views[0].total.Unread+read+passTime
+	}
+	return count, expected
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"berylward.example/berylward/internal/roster"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. The age of the table is at most this, an answer and a
+	// reconnection, which together stay below the bound of withdrawn keys.
+	watchWait = 1500 * time.Millisecond
+	// retryFirst is the pause after a failed call to the store; it doubles up to retryMost.
+	retryFirst = 60 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// awayAfter is how long the store must fail for entries to be able to lapse meanwhile.
+	awayAfter = time.Second
+	// expireEvery is how often lapses are looked at while the store is quiet.
+	expireEvery = 300 * time.Millisecond
+)
+
+// follow is the task that reads the store and then watches it, for as long as the gateway lives.
+func (g *Gateway) follow() error {
+	ctx := g.tomb.Context(context.Background())
+	g.tomb.Go(g.expire)
+	var revision int64
+	var failedSince time.Time
+	pause := retryFirst
+	for ctx.Err() == nil {
+		sent := g.boot.Now()
+		whole := revision == 0
+		var facts []Fact
+		var next int64
+		var err error
+		if whole {
+			facts, next, err = g.store.Read(ctx)
+		} else {
+			facts, next, err = g.store.Watch(ctx, revision, watchWait)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			g.metrics.count("store-errors", 1)
+			if g.store.Compacted(err) {
+				g.log.Info("history of the store is gone; reading everything", "revision", revision)
+				revision = 0
+				continue
+			}
+			if failedSince.IsZero() {
+				failedSince = sent
+				g.log.Info("store lost", "error", err.Error(), "revision", revision)
+			}
+			if !g.sleep(pause) {
+				return nil
+			}
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		if !failedSince.IsZero() {
+			away := g.boot.Since(failedSince)
+			g.log.Info("store back", "away-ms", away.Milliseconds())
+			if away >= awayAfter {
+				g.mu.Lock()
+				g.roster.StoreBack(g.clock.Now())
+				g.mu.Unlock()
+			}
+			failedSince = time.Time{}
+		}
+		pause = retryFirst
+		if !g.apply(sent, facts, whole) {
+			// The newest table could not be read, so nothing proves the present one; everything is read again.
+			revision = 0
+			if !g.sleep(retryMost) {
+				return nil
+			}
+			continue
+		}
+		revision = next
+	}
+	return nil
+}
+
+// sleep pauses the task and returns false when the gateway ends.
+func (g *Gateway) sleep(d time.Duration) bool {
+	select {
+	case <-g.tomb.Dying():
+		return false
+	case <-g.clock.After(d):
+		return true
+	}
+}
+
+// expire is the task that gives up backend servers whose entries stay missing.
+func (g *Gateway) expire() error {
+	for g.sleep(expireEvery) {
+		now := g.clock.Now()
+		g.mu.Lock()
+		changes := g.roster.Expire(now)
+		g.mu.Unlock()
+		for _, c := range changes {
+			g.changed(c)
+		}
+	}
+	return nil
+}
+
+// apply puts facts into force. It returns false when the table among them could not be read.
+func (g *Gateway) apply(sent time.Time, facts []Fact, whole bool) bool {
+	now := g.clock.Now()
+	readable := true
+	var servers []roster.Server
+	var zonesOut []string
+	var changes []roster.Change
+	var lines []func()
+	g.mu.Lock()
+	for _, fact := range facts {
+		switch f := fact.(type) {
+		case NewTable:
+			if g.book.Take(f.Table) {
+				lines = append(lines, func() {
+					g.log.Info("table in force", "version", f.Table.Version, "routes", f.Table.Routes())
+				})
+			}
+		case Zone:
+			if whole {
+				zonesOut = append(zonesOut, f.Name)
+			} else {
+				changes = append(changes, g.roster.SetZoneOut(f.Name, f.Out))
+			}
+		case ServerSeen:
+			if whole {
+				servers = append(servers, f.Server)
+			} else {
+				changes = append(changes, g.roster.Put(f.Server))
+			}
+		case ServerGone:
+			changes = append(changes, g.roster.Remove(now, f.ID))
+		case Unreadable:
+			lines = append(lines, func() { g.log.Error(f.Err, "item ignored", "key", f.Key) })
+			readable = readable && !f.Table
+		}
+	}
+	if whole {
+		changes = append(changes, g.roster.Replace(now, servers)...)
+		changes = append(changes, g.roster.ReplaceZonesOut(zonesOut)...)
+	}
+	if readable && g.book.Table() != nil {
+		g.book.Prove(sent)
+		g.loaded = true
+	}
+	g.mu.Unlock()
+	for _, line := range lines {
+		line()
+	}
+	for _, c := range changes {
+		g.changed(c)
+	}
+	return readable
+}
+
+// changed logs a change of the roster and drops what belonged to a backend server that is gone.
+func (g *Gateway) changed(c roster.Change) {
+	switch c := c.(type) {
+	case roster.Joined:
+		g.log.Info("backend server joined", "backend", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
+			"revision", c.Server.Revision, "draining", c.Server.Draining)
+	case roster.Updated:
+		if c.Draining {
+			g.log.Info("backend server draining", "backend", c.Server.ID, "revision", c.Server.Revision)
+		}
+	case roster.Lapsed:
+		g.log.Info("entry of a backend server lapsed while the store was away", "backend", c.Server.ID)
+	case roster.Left:
+		g.log.Info("backend server left", "backend", c.Server.ID, "revision", c.Server.Revision)
+		g.pool.Drop(c.Server.Address)
+		g.mu.Lock()
+		g.planner.Forget(c.Server)
+		g.mu.Unlock()
+	case roster.ZoneOut:
+		g.log.Info("zone taken out", "zone", c.Zone)
+	case roster.ZoneIn:
+		g.log.Info("zone back in service", "zone", c.Zone)
+	case roster.None:
+	}
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/peering"
+	"berylward.example/berylward/internal/suspect"
+)
+
+const (
+	// maxDatagram bounds a received datagram in bytes.
+	maxDatagram = 4 << 10
+	// markLimit bounds the marks of crashes in one datagram.
+	markLimit = 12
+)
+
+// hear is the task that takes datagrams from other gateways.
+func (g *Gateway) hear() error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.peers.ReadFrom(buf)
+		if err != nil {
+			if !g.tomb.Alive() {
+				return nil
+			}
+			return err
+		}
+		udp, ok := from.(*net.UDPAddr)
+		if !ok {
+			continue
+		}
+		state, err := peering.Decode(buf[:n])
+		if err != nil {
+			g.metrics.count("peer-errors", 1)
+			g.log.Error(err, "datagram ignored", "from", from.String())
+			continue
+		}
+		g.heard(udp.AddrPort(), state)
+	}
+}
+
+func (g *Gateway) heard(from netip.AddrPort, s peering.State) {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	now := g.clock.Now()
+	g.mu.Lock()
+	news := g.group.Hear(now, from, s)
+	if _, ok := news.(peering.Fresh); ok {
+		g.planner.Heard(now, from.String(), s.Loads)
+		g.resize()
+		if len(s.Marks) > 0 {
+			if marks, err := suspect.DecodeMarks(s.Marks); err == nil {
+				g.suspects.Merge(now, marks)
+			} else {
+				g.metrics.count("peer-errors", 1)
+			}
+		}
+	}
+	g.mu.Unlock()
+	if fresh, ok := news.(peering.Fresh); ok && fresh.Joined {
+		g.log.Info("gateway joined", "address", from.String(), "incarnation", s.Incarnation)
+	}
+}
+
+// resize puts the number of gateways into force, among which limits are shared.
+func (g *Gateway) resize() {
+	n := g.group.Size()
+	g.planner.SetGateways(n)
+	for _, b := range g.budgets {
+		b.SetLimits(g.RetryShare*budgetShare, g.RetryReserve*budgetShare/float64(n))
+	}
+}
+
+// tell is the task that sends this gateway's state to the others.
+func (g *Gateway) tell() error {
+	interval := g.group.Interval()
+	for g.sleep(interval) {
+		now := g.clock.Now()
+		g.mu.Lock()
+		gone := g.group.Expire(now)
+		if len(gone) > 0 {
+			g.resize()
+		}
+		loads, changed := g.planner.Loads(now)
+		g.pending = g.pending || changed
+		to := g.group.Due(now, g.pending)
+		interval = g.group.Interval()
+		var data []byte
+		if len(to) > 0 {
+			g.pending = false
+			data = g.encodeState(now, loads)
+		}
+		g.mu.Unlock()
+		for _, address := range gone {
+			g.log.Info("gateway lost", "address", address.String())
+		}
+		for _, address := range to {
+			if data == nil {
+				break
+			}
+			// A datagram that cannot be sent is replaced by the next one; the count shows it.
+			if _, err := g.peers.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
+				g.metrics.count("peer-errors", 1)
+			}
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) encodeState(now time.Time, loads []dispatch.Load) []byte {
+	sequence, members := g.group.Next()
+	s := peering.State{
+		Incarnation: g.incarnation, Sequence: sequence, Stopping: g.stopping.Load() != 0, Members: members, Loads: loads,
+	}
+	if marks := g.suspects.Marks(now); len(marks) > 0 {
+		encoded, err := suspect.EncodeMarks(marks[max(0, len(marks)-markLimit):])
+		if err != nil {
+			g.log.Error(err, "crash marks not sent")
+		}
+		s.Marks = encoded
+	}
+	data, err := peering.Encode(s)
+	if err != nil {
+		g.log.Error(err, "state not sent")
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,39 @@
+package gateway
+
+import "time"
+
+// Status is what a gateway shows of itself.
+type Status struct {
+	Instance string `json:"instance"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	Running  int64  `json:"running"`
+	// Table is the version in force, zero when there is none; TableAge is in milliseconds.
+	Table          int64  `json:"table"`
+	TableAge       int64  `json:"table-age-ms"`
+	BackendServers int    `json:"backend-servers"`
+	Gateways       int    `json:"gateways"`
+	Connections    uint64 `json:"connections-opened"`
+}
+
+// Status returns what the gateway shows of itself.
+func (g *Gateway) Status() Status {
+	s := Status{
+		Instance: g.Instance, Ready: g.Ready(), Stopping: g.stopping.Load() != 0, Running: g.active.Load(),
+		Connections: g.pool.Opened(),
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.book.Table(); t != nil {
+		s.Table, s.TableAge = t.Version, int64(g.book.Age(g.boot.Now())/time.Millisecond)
+	}
+	s.BackendServers, s.Gateways = g.roster.Len(), g.group.Size()
+	return s
+}
+
+// Reload puts the seeds of changed settings into force. Addresses and bounds hold until the next start.
+func (g *Gateway) Reload(s Settings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.group.SetSeeds(s.Seeds)
+}
--- /dev/null
+++ b/internal/peering/messages.go
@@ -0,0 +1,112 @@
+package peering
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"berylward.example/berylward/internal/dispatch"
+)
+
+// ErrorKind classifies an Error of this package.
+type ErrorKind string
+
+// KindMessage means that a datagram is malformed.
+const KindMessage ErrorKind = "message"
+
+// Error reports a malformed datagram.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("peering: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	// maxLoads keeps a datagram below the size at which networks fragment it, about 1,400 bytes.
+	maxLoads = 48
+	// maxCount and maxMilliseconds bound the numbers of a received load.
+	maxCount        = 1 << 20
+	maxMilliseconds = 3600 * 1000
+)
+
+type stateMessage struct {
+	Incarnation uint64           `cbor:"incarnation"`
+	Sequence    uint64           `cbor:"sequence"`
+	Stopping    bool             `cbor:"stopping,omitempty"`
+	Members     []netip.AddrPort `cbor:"members,omitempty"`
+	Loads       []loadMessage    `cbor:"loads,omitempty"`
+	Marks       []byte           `cbor:"marks,omitempty"`
+}
+
+// loadMessage is an array on the wire, because it is most of a datagram.
+type loadMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Key      uint64
+	Short    uint32
+	Long     uint32
+	UnreadMS uint32
+	// Memory is in units of 1,000 tokens.
+	Memory  uint32
+	AvoidMS uint32
+}
+
+// Encode returns the datagram for a state. When there are more loads than fit, the largest are sent.
+func Encode(s State) ([]byte, error) {
+	loads := s.Loads
+	if len(loads) > maxLoads {
+		loads = slices.Clone(loads)
+		slices.SortFunc(loads, func(a, b dispatch.Load) int {
+			return cmp.Or(cmp.Compare(b.Unread, a.Unread), cmp.Compare(b.Short+b.Long, a.Short+a.Long))
+		})
+		loads = loads[:maxLoads]
+	}
+	m := stateMessage{
+		Incarnation: s.Incarnation, Sequence: s.Sequence, Stopping: s.Stopping, Members: s.Members, Marks: s.Marks,
+		Loads: make([]loadMessage, 0, len(loads)),
+	}
+	for _, l := range loads {
+		m.Loads = append(m.Loads, loadMessage{
+			Key: uint64(l.Key), Short: uint32(l.Short), Long: uint32(l.Long), UnreadMS: uint32(l.Unread.Milliseconds()),
+			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.Avoid.Milliseconds()),
+		})
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
+	}
+	return data, nil
+}
+
+// Decode reads a datagram.
+func Decode(data []byte) (State, error) {
+	var m stateMessage
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return State{}, &Error{Op: "decode", Kind: KindMessage, Err: err}
+	}
+	s := State{
+		Incarnation: m.Incarnation, Sequence: m.Sequence, Stopping: m.Stopping, Members: m.Members, Marks: m.Marks,
+		Loads: make([]dispatch.Load, 0, len(m.Loads)),
+	}
+	for _, l := range m.Loads {
+		if l.Short > maxCount || l.Long > maxCount || l.UnreadMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
+			return State{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
+		}
+		s.Loads = append(s.Loads, dispatch.Load{
+			Key: dispatch.Key(l.Key), Short: int(l.Short), Long: int(l.Long),
+			Unread: time.Duration(l.UnreadMS) * time.Millisecond, Memory: int64(l.Memory) * 1000,
+			Avoid: time.Duration(l.AvoidMS) * time.Millisecond,
+		})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,195 @@
+// Package peering keeps the group of gateways: who is there, and what each last told of itself. Every gateway sends its
+// whole state in one datagram, so a lost datagram is replaced by the next one and a gateway that ends leaves nothing to
+// clean up. A Group is owned by one gateway, reads no clock and does no input or output.
+package peering
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"berylward.example/berylward/internal/dispatch"
+)
+
+const (
+	// memberLife is how long a gateway that sends nothing counts as a member.
+	memberLife = 3 * time.Second
+	// reportGap is the longest pause between two datagrams to a member when nothing changes.
+	reportGap = 500 * time.Millisecond
+	// changeGap is the shortest pause between two datagrams when something changes; memberGap is added to it for each
+	// member, which bounds what a large group costs an instance.
+	changeGap = 15 * time.Millisecond
+	memberGap = 4 * time.Millisecond
+	// seedGap is the pause between two datagrams to a seed that is not a member.
+	seedGap = time.Second
+	// maxMembers bounds the group; memory and datagrams grow with it.
+	maxMembers = 512
+)
+
+// State is what a gateway tells of itself.
+type State struct {
+	// Incarnation rises with each start of the gateway, Sequence with each datagram.
+	Incarnation, Sequence uint64
+	// Stopping gateways take no part in shares.
+	Stopping bool
+	// Members are some of the other gateways that the sender knows.
+	Members []netip.AddrPort
+	Loads   []dispatch.Load
+	// Marks are requests that ran when backend servers failed, in the encoding of package suspect.
+	Marks []byte
+}
+
+type member struct {
+	heard                 time.Time
+	incarnation, sequence uint64
+	stopping              bool
+}
+
+// Group holds the members. It must be used by one goroutine at a time.
+type Group struct {
+	self     netip.AddrPort
+	seeds    []netip.AddrPort
+	members  map[netip.AddrPort]*member
+	sent     time.Time
+	seeded   time.Time
+	sequence uint64
+	rotation int
+}
+
+// NewGroup returns a group of this gateway alone. Seeds are told of it until they answer.
+func NewGroup(self netip.AddrPort, seeds []netip.AddrPort) *Group {
+	return &Group{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}}
+}
+
+// SetSeeds replaces the seeds.
+func (g *Group) SetSeeds(seeds []netip.AddrPort) { g.seeds = seeds }
+
+// News says what a datagram is worth. It is a sealed interface: Fresh and Stale are its only implementations.
+//
+//sumtype:decl
+type News interface{ news() }
+
+// Fresh means that the state is newer than what was known; Joined says that its gateway is new.
+type Fresh struct{ Joined bool }
+
+// Stale means that the state is older than what is known, or of this gateway itself.
+type Stale struct{}
+
+func (Fresh) news() {}
+func (Stale) news() {}
+
+// Hear takes the state that a gateway sent.
+func (g *Group) Hear(now time.Time, from netip.AddrPort, s State) News {
+	if from == g.self {
+		return Stale{}
+	}
+	m := g.members[from]
+	if m != nil && cmp.Or(cmp.Compare(s.Incarnation, m.incarnation), cmp.Compare(s.Sequence, m.sequence)) <= 0 {
+		return Stale{}
+	}
+	for _, other := range s.Members {
+		g.introduce(other)
+	}
+	joined := m == nil || m.heard.IsZero()
+	if m == nil {
+		if len(g.members) >= maxMembers {
+			return Stale{}
+		}
+		m = &member{}
+		g.members[from] = m
+	}
+	*m = member{heard: now, incarnation: s.Incarnation, sequence: s.Sequence, stopping: s.Stopping}
+	return Fresh{Joined: joined}
+}
+
+// introduce remembers a gateway that another one knows. It is a member once it is heard itself.
+func (g *Group) introduce(other netip.AddrPort) {
+	if other == g.self || !other.IsValid() || g.members[other] != nil || slices.Contains(g.seeds, other) {
+		return
+	}
+	if len(g.members) < maxMembers {
+		g.members[other] = &member{}
+	}
+}
+
+// Expire forgets the gateways that were silent for too long and returns them.
+func (g *Group) Expire(now time.Time) []netip.AddrPort {
+	var gone []netip.AddrPort
+	for address, m := range g.members {
+		if !m.heard.IsZero() && now.Sub(m.heard) > memberLife {
+			delete(g.members, address)
+			gone = append(gone, address)
+		}
+	}
+	return gone
+}
+
+// Size returns the number of gateways that take requests, this one included.
+func (g *Group) Size() int {
+	n := 1
+	for _, m := range g.members {
+		if !m.heard.IsZero() && !m.stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// Due returns to whom the state is to be sent now, which is to nobody when it is too early. changed says whether the
+// state differs from the last one sent.
+func (g *Group) Due(now time.Time, changed bool) []netip.AddrPort {
+	gap := reportGap
+	if changed {
+		gap = g.Interval()
+	}
+	if now.Sub(g.sent) < gap {
+		return nil
+	}
+	g.sent = now
+	var to []netip.AddrPort
+	strangers := now.Sub(g.seeded) >= seedGap
+	if strangers {
+		g.seeded = now
+	}
+	for address, m := range g.members {
+		if !m.heard.IsZero() || strangers {
+			to = append(to, address)
+		}
+		if m.heard.IsZero() && strangers {
+			// It is told once of this gateway; if it lives, it answers.
+			delete(g.members, address)
+		}
+	}
+	if strangers {
+		for _, seed := range g.seeds {
+			if g.members[seed] == nil && seed != g.self {
+				to = append(to, seed)
+			}
+		}
+	}
+	return to
+}
+
+// Interval returns the shortest pause between two datagrams to the same member.
+func (g *Group) Interval() time.Duration { return changeGap + time.Duration(len(g.members))*memberGap }
+
+// Next returns the sequence number for the next datagram and some members to introduce in it.
+func (g *Group) Next() (uint64, []netip.AddrPort) {
+	g.sequence++
+	var known []netip.AddrPort
+	for address, m := range g.members {
+		if !m.heard.IsZero() {
+			known = append(known, address)
+		}
+	}
+	slices.SortFunc(known, netip.AddrPort.Compare)
+	if len(known) > introductions {
+		g.rotation = (g.rotation + introductions) % len(known)
+		known = append(known[g.rotation:], known[:g.rotation]...)[:introductions]
+	}
+	return g.sequence, known
+}
+
+// introductions is how many members are named in one datagram; all are named in turn.
+const introductions = 6
--- a/internal/suspect/register.go
+++ b/internal/suspect/register.go
@@ -14,6 +14,7 @@
 type options struct {
 	quarantine time.Duration
 	limit      int
+	crashes    int
 }
 
 // Option changes a setting of a Register.
@@ -22,6 +23,9 @@
 // WithLimit sets how many fingerprints are remembered (4096 by default, under 1 MB).
 func WithLimit(n int) Option { return func(o *options) { o.limit = n } }
 
+// WithCrashes sets how many crashes quarantine a request (2 by default).
+func WithCrashes(n int) Option { return func(o *options) { o.crashes = n } }
+
 // markLife is how long a crash is remembered. All processes must use the same value, because the time of a crash
 // is derived from its remaining life.
 const markLife = time.Hour
@@ -62,7 +66,7 @@
 
 // New returns an empty register. The incarnation is drawn at random at each start of the process.
 func New(incarnation uuid.UUID, opts ...Option) *Register {
-	o := options{quarantine: defaultQuarantine, limit: 4096}
+	o := options{quarantine: defaultQuarantine, limit: 4096, crashes: 2}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -108,7 +112,7 @@
 	if count == 0 {
 		return Clear{}
 	}
-	if until := last.Add(r.opt.quarantine - markLife); count >= 2 && now.Before(until) {
+	if until := last.Add(r.opt.quarantine - markLife); count >= r.opt.crashes && now.Before(until) {
 		return Quarantined{Until: until}
 	}
 	return Isolate{}
