--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -119,4 +119,3 @@
 	}
 	return false
 }
-
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,6 +47,9 @@
 	delivered bool // bytes of an answer have gone to the caller
 	outcome   string
 	firstByte time.Duration
+	// widestGap is the longest pause between two events that the caller got, lastEvent when the last one went.
+	widestGap time.Duration
+	lastEvent time.Time
 }
 
 // serve answers one request of a caller.
@@ -260,5 +263,5 @@
 	q.g.metrics.observe(q.admitted.Route.Name, took)
 	q.g.log.Info("request ended", "request", q.call.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
 		"workspace", q.admitted.Workspace, "table", q.admitted.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
-		"took-ms", took.Milliseconds(), "prompt", q.work.Prompt)
+		"gap-ms", q.widestGap.Milliseconds(), "took-ms", took.Milliseconds(), "prompt", q.work.Prompt)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -157,6 +157,11 @@
 				return errCallerLeft
 			}
 			if sent {
+				now := q.g.clock.Now()
+				if !q.lastEvent.IsZero() {
+					q.widestGap = max(q.widestGap, now.Sub(q.lastEvent))
+				}
+				q.lastEvent = now
 				if err := flusher.Flush(); err != nil {
 					return errCallerLeft
 				}
