dispatch: hold long prompts that are late already; bound the parts of a joint reading

Cause: in a burst of reviews the first prompts of 350,000 to 440,000 tokens took 13 to 20 s of reading each, and all later ones waited behind them; parts of over 600 ms made the streams of digests pause too long. Ruled out: wrong predictions (predicted and real times to the first event agree within a tenth in the log). Change: a prompt whose first event will be late waits for free engines until it is nearly too late; parts of at most 400 ms.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,8 @@
 	Prompt, Answer int64
 	// Target is the time to the first event, or to the whole answer of a plain service.
 	Target time.Duration
+	// Due is when the first event would be late, Latest when it would be too late for its caller.
+	Due, Latest time.Time
 	// ColdPerSecond bounds the requests to one cold backend server from all gateways; zero means no bound.
 	ColdPerSecond float64
 	// Fingerprint identifies requests that are the same; zero when it does not matter.
@@ -34,7 +36,8 @@
 // Short says whether the request is one of those that long reading must not hold up.
 func (w Work) Short() bool { return w.Read() <= shortRead }
 
-// Placement says where a request goes. It is a sealed interface: Send, Joint and Nowhere are its only implementations.
+// Placement says where a request goes. It is a sealed interface: Send, Joint, Hold and Nowhere are its only
+// implementations.
 //
 //sumtype:decl
 type Placement interface{ placement() }
@@ -56,6 +59,14 @@
 	Expected time.Duration
 }
 
+// Hold means that the request will be late whatever is done, so those that can still be on time go first. It is to be
+// placed again after For.
+type Hold struct {
+	For time.Duration
+	// Expected is the predicted time to the first event if it were sent now.
+	Expected time.Duration
+}
+
 // Reason says why a request goes nowhere.
 type Reason string
 
@@ -80,6 +91,7 @@
 
 func (Send) placement()    {}
 func (Joint) placement()   {}
+func (Hold) placement()    {}
 func (Nowhere) placement() {}
 
 // Ticket identifies one placed request until it ends.
@@ -228,7 +240,7 @@
 		if place.Reserved {
 			j.memory /= int64(len(place.Servers))
 		}
-	case Nowhere:
+	case Hold, Nowhere:
 		return 0
 	}
 	for i, st := range j.servers {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -34,6 +34,14 @@
 	queuedStep = 150 * time.Millisecond
 	// peerLife is how long the loads told by another gateway count.
 	peerLife = 2 * time.Second
+	// longPart is the longest part of a joint reading on an engine, where more engines are free. A longer one makes the
+	// streams of other long prompts late.
+	longPart = 400 * time.Millisecond
+	// heldUnread is the outstanding reading, with a pass, up to which an engine is free for a prompt that is late already.
+	heldUnread = 200 * time.Millisecond
+	// holdStep is the time between two looks for a free engine, holdMargin what is left before it is too late.
+	holdStep   = 40 * time.Millisecond
+	holdMargin = 700 * time.Millisecond
 	// passTime is a typical pass of an engine with writers, after which a new prompt is read.
 	passTime = 60 * time.Millisecond
 )
@@ -66,7 +74,7 @@
 	case w.Short():
 		return p.short(w, views)
 	}
-	return p.long(w, views)
+	return p.long(now, w, views)
 }
 
 const (
@@ -192,7 +200,7 @@
 }
 
 // long reads a prompt on as few engines as bring its first event in time, preferably on those without short requests.
-func (p *Planner) long(w Work, views []view) Placement {
+func (p *Planner) long(now time.Time, w Work, views []view) Placement {
 	slices.SortStableFunc(views, func(a, b view) int {
 		return cmp.Or(cmp.Compare(min(a.total.Short, 1), min(b.total.Short, 1)), cmp.Compare(a.total.Unread, b.total.Unread))
 	})
@@ -206,6 +214,11 @@
 		count, expected = p.spill(w, read, views, free, count, expected)
 	}
 	chosen := views[:count]
+	part := read / time.Duration(count)
+	if !w.Due.IsZero() && now.Add(expected).After(w.Due) && expected-part > heldUnread &&
+		now.Add(expected+holdMargin).Before(w.Latest) {
+		return Hold{For: holdStep, Expected: expected}
+	}
 	needs := w.Prompt + w.Answer
 	reserved := float64(needs) > memoryShare*float64(w.Engine.MemoryTokens)
 	first := 0
@@ -231,7 +244,7 @@
 	if count == 1 && !reserved {
 		return Send{Server: chosen[0].server, Expected: expected}
 	}
-	j := Joint{Part: read / time.Duration(count), Reserved: reserved, Expected: expected}
+	j := Joint{Part: part, Reserved: reserved, Expected: expected}
 	for i := range chosen {
 		j.Servers = append(j.Servers, chosen[i].server)
 	}
@@ -250,7 +263,7 @@
 		if count == 0 || at < done {
 			count, done = n, at
 		}
-		if at <= wanted {
+		if at <= wanted && part <= longPart {
 			return n, at
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,14 +56,29 @@
 	last     bool // no further send is allowed after this one
 }
 
-// place decides where the next attempt goes and accounts for it. It returns nil when the request has been answered.
+// place decides where the next attempt goes and accounts for it, when need be after a hold. It returns nil when the
+// request has been answered.
 func (q *request) place() *attempt {
+	for {
+		a, held := q.tryPlace()
+		if held == 0 {
+			return a
+		}
+		select {
+		case <-q.ctx.Done():
+		case <-q.g.clock.After(held):
+		}
+	}
+}
+
+// tryPlace returns the next attempt, or for how long the request is held.
+func (q *request) tryPlace() (*attempt, time.Duration) {
 	g := q.g
 	now := g.clock.Now()
 	remaining := q.deadline.Sub(now)
 	if remaining <= 0 || q.ctx.Err() != nil {
 		q.expire()
-		return nil
+		return nil, 0
 	}
 	g.mu.Lock()
 	admission := g.book.Admit(g.boot.Now(), q.call.Host, q.call.Path, q.call.Key)
@@ -82,23 +97,31 @@
 	switch {
 	case !ok:
 		q.giveUp("withdrawn", comeBackElsewhere)
-		return nil
+		return nil, 0
 	case quarantined:
 		g.log.Info("request refused: it ran when backend servers failed", "request", q.call.ID, "crashes", crashes)
 		q.giveUp("quarantined", q.deadline.Sub(q.arrived))
-		return nil
+		return nil, 0
 	case !budgeted:
 		q.giveUp("retry-budget", comeBack)
-		return nil
+		return nil, 0
 	}
 	q.sends++
 	a := &attempt{ticket: ticket}
 	switch p := placement.(type) {
+	case dispatch.Hold:
+		q.sends--
+		if !q.held {
+			q.held = true
+			g.metrics.count("held", 1)
+			g.log.Info("held", "request", q.call.ID, "expected-ms", p.Expected.Milliseconds(), "gateways", gateways)
+		}
+		return nil, p.For
 	case dispatch.Nowhere:
 		q.sends--
 		g.log.Info("no placement", "request", q.call.ID, "reason", string(p.Reason), "tried", len(q.tried), "table", admitted.Version)
 		q.giveUp(string(p.Reason), p.RetryAfter)
-		return nil
+		return nil, 0
 	case dispatch.Send:
 		a.server, a.expected = p.Server, p.Expected
 	case dispatch.Joint:
@@ -111,7 +134,7 @@
 	g.log.Info("sent", "request", q.call.ID, "backend", a.server.ID, "send", q.sends, "helpers", len(a.helpers),
 		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", admitted.Version,
 		"gateways", gateways, "backend-revision", a.server.Revision)
-	return a
+	return a, 0
 }
 
 // expire ends a request whose time is over or whose caller has left.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,6 +24,11 @@
 	comeBack = 250 * time.Millisecond
 	// comeBackElsewhere is when a caller may come back that another gateway serves.
 	comeBackElsewhere = 20 * time.Millisecond
+	// Callers leave a stream that shows nothing for the longest of a least time, a multiple of the route's target and a
+	// multiple of its longest pause.
+	patienceLeast   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
 	// maxSends bounds the sends of one request, those included that backend servers refused.
 	maxSends = 4
 )
@@ -44,6 +49,7 @@
 	tried     []string
 	ran       []*roster.Server // backend servers that may have run it
 	sends     int
+	held      bool // the request waited for requests that can still be on time
 	delivered bool // bytes of an answer have gone to the caller
 	outcome   string
 	firstByte time.Duration
@@ -168,6 +174,8 @@
 	defer g.mu.Unlock()
 	q.service = q.chooseService()
 	q.work.Target = q.admitted.Route.Target
+	q.work.Due = q.arrived.Add(q.work.Target)
+	q.work.Latest = q.latest()
 	if s := g.book.Table().Service(q.service); s != nil {
 		q.work.ColdPerSecond = s.ColdPerSecond
 		if p := q.call.Prompt; p != nil && s.Engine != nil {
@@ -181,6 +189,16 @@
 	g.budget(q.service).Request(g.clock.Now())
 }
 
+// latest returns when the first event would come too late: callers give up after the longest of some pauses.
+func (q *request) latest() time.Time {
+	r := q.admitted.Route
+	patience := max(patienceLeast, patienceTargets*r.Target, patienceGaps*r.MaxGap)
+	if at := q.arrived.Add(patience); at.Before(q.deadline) {
+		return at
+	}
+	return q.deadline
+}
+
 // chooseService picks a service by the route's weights, among those that have backend servers if any has.
 func (q *request) chooseService() string {
 	total := 0
