command: the time to stop starts with the signal

Ruled out: the gateway's own stop; its log shows 'stopped' 4 ms after 'stopping'. Change: the context starts with the signal; a test on virtual time fails without it.

--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -227,15 +227,22 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+	return superviseSignals(p, timeout, signals)
+}
+
+func superviseSignals(p part, timeout time.Duration, signals <-chan os.Signal) error {
 	select {
 	case <-signals:
 	case <-p.Dying():
 	}
+	// The time to stop starts with the signal, however long the process ran before.
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	go func() {
-		if _, ok := <-signals; ok {
+		select {
+		case <-signals:
 			cancel()
+		case <-ctx.Done():
 		}
 	}()
 	return p.Stop(ctx)
