--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. The age of the table is at most this, an answer and a
-	// reconnection, which together stay below the bound of withdrawn keys.
+	// watchWait is how long a watch waits for a change. A watch proves the table at the time when it was sent, so the age
+	// of the proof reaches twice this, and with one watch that hangs still stays below the bound of withdrawn keys.
 	watchWait = 1500 * time.Millisecond
+	// recoveryWait is the wait of the first watch after a failure, so that it proves the table soon.
+	recoveryWait = 200 * time.Millisecond
+	// gatherPause is the pause after a watch that told of changes. Changes come in groups, each call is priced for each
+	// gateway, and what they tell may take seconds to be in force.
+	gatherPause = 250 * time.Millisecond
 	// retryFirst is the pause after a failed call to the store; it doubles up to retryMost.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -36,7 +41,11 @@
 		if whole {
 			facts, next, err = g.store.Read(ctx)
 		} else {
-			facts, next, err = g.store.Watch(ctx, revision, watchWait)
+			wait := watchWait
+			if !failedSince.IsZero() {
+				wait = recoveryWait
+			}
+			facts, next, err = g.store.Watch(ctx, revision, wait)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -78,6 +87,9 @@
 			continue
 		}
 		revision = next
+		if len(facts) > 0 && !g.sleep(gatherPause) {
+			return nil
+		}
 	}
 	return nil
 }
