dispatch, gateway: wait for busy engines; read medium prompts beside short ones; pack by slots

Ruled out: dead engines (the same engines sent events of other streams meanwhile). Change: a silent attempt is waited for while its engine makes progress or the budget is empty; engines with short requests may read parts up to 140 ms; the packing limit is a share of the slots.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -220,6 +220,8 @@
 	Fresh bool
 	// DialTimeout bounds the opening of a connection, HeadTimeout the wait for the head of the answer after it.
 	DialTimeout, HeadTimeout time.Duration
+	// Extend is asked when nothing came in time, and returns how much longer to wait; zero gives up. It may be nil.
+	Extend func() time.Duration
 	// Own says whether an answer belongs to the request. Late answers to earlier requests come first and are skipped.
 	Own func(*http.Response) bool
 }
@@ -277,7 +279,7 @@
 
 func (x *Exchange) run(r *http.Request, plan Plan) (*http.Response, error) {
 	c := x.conn
-	if err := c.SetDeadline(x.pool.clock.Now().Add(plan.HeadTimeout)); err != nil {
+	if err := c.SetWriteDeadline(x.pool.clock.Now().Add(plan.HeadTimeout)); err != nil {
 		return nil, err
 	}
 	if r.ContentLength > inlineBody {
@@ -287,6 +289,9 @@
 		return nil, err
 	}
 	for range staleAnswers {
+		if err := x.Wait(plan.HeadTimeout, plan.Extend); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.reader, r)
 		if err != nil {
 			return nil, err
@@ -335,9 +340,21 @@
 	return e
 }
 
-// ReadWithin bounds the wait for the next bytes of the body.
-func (x *Exchange) ReadWithin(d time.Duration) error {
-	return x.conn.SetReadDeadline(x.pool.clock.Now().Add(d))
+// Wait returns when the next bytes of the answer are there. When none came within d, extend is asked for more time; zero
+// ends the wait with an error. extend may be nil.
+func (x *Exchange) Wait(d time.Duration, extend func() time.Duration) error {
+	for {
+		if err := x.conn.SetReadDeadline(x.pool.clock.Now().Add(d)); err != nil {
+			return err
+		}
+		_, err := x.conn.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || extend == nil {
+			return err
+		}
+		if d = extend(); d <= 0 {
+			return err
+		}
+	}
 }
 
 // Explain turns an error of reading the body into an Error.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,9 +129,10 @@
 
 // state is what is known of one life of a backend server.
 type state struct {
-	key  Key
-	own  Load
-	seen time.Time
+	key Key
+	own Load
+	// moved is when a request of this gateway there last made progress.
+	moved time.Time
 	// recent failures by outcome, and until when the server is avoided.
 	failures   int
 	avoidUntil time.Time
@@ -228,7 +229,8 @@
 	return loads, changed
 }
 
-// Placed records that a request goes to a backend server, or to several. The ticket is needed for Begun and Ended.
+// Placed records that a request goes to a backend server, or to several. The ticket is needed for Progress
+// and Ended.
 func (p *Planner) Placed(now time.Time, w Work, place Placement) Ticket {
 	j := &job{short: w.Short(), part: w.Read()}
 	switch place := place.(type) {
@@ -266,13 +268,24 @@
 	return p.next
 }
 
-// Begun records the first event of a request: its prompt has been read everywhere.
-func (p *Planner) Begun(t Ticket) {
+// Progress records that an event of a request came: its prompt has been read everywhere.
+func (p *Planner) Progress(now time.Time, t Ticket) {
 	if j := p.jobs[t]; j != nil {
 		p.read(j)
+		j.servers[0].moved = now
 	}
 }
 
+// Moving says whether another request of this gateway made progress lately at the backend server of a request. Such a
+// backend server is busy rather than dead.
+func (p *Planner) Moving(now time.Time, t Ticket) bool {
+	j := p.jobs[t]
+	return j != nil && now.Sub(j.servers[0].moved) < movingWithin
+}
+
+// movingWithin is how lately a backend server must have made progress to count as alive; it covers a long pass.
+const movingWithin = 600 * time.Millisecond
+
 func (p *Planner) read(j *job) {
 	if j.begun {
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,11 +11,11 @@
 const (
 	// shortRead is the longest reading of a prompt in the class of short ones.
 	shortRead = 150 * time.Millisecond
-	// packLimit is how many short requests one engine gets before the next engine is used for them. Short requests
-	// are packed so that other engines are free for long reading, which makes every stream on its engine pause.
-	packLimit = 10
+	// packShare is the part of an engine's slots that short requests get before the next engine is used for them. Short
+	// requests are packed so that other engines are free for long reading, which makes every stream on its engine pause.
+	packShare = 0.62
 	// packUnread is the longest outstanding reading of an engine that short requests are packed on.
-	packUnread = 90 * time.Millisecond
+	packUnread = 140 * time.Millisecond
 	// spillUnread is the longest outstanding reading, the new part included, that a long prompt may cause on an engine
 	// with short requests. A longer one makes their streams late.
 	spillUnread = 140 * time.Millisecond
@@ -165,10 +165,11 @@
 // first, so that gateways that have not heard of each other's latest sends rarely meet on one engine.
 func (p *Planner) short(w Work, views []view) Placement {
 	slices.SortFunc(views, func(a, b view) int { return cmp.Compare(a.rank, b.rank) })
+	limit := max(int(packShare*float64(w.Engine.Slots)), 1)
 	packed, empty := -1, -1
 	for i := range views {
 		v := &views[i]
-		if v.total.Short >= packLimit || v.total.Unread > packUnread || v.requests() >= w.Engine.Slots {
+		if v.total.Short >= limit || v.total.Unread > packUnread || v.requests() >= w.Engine.Slots {
 			continue
 		}
 		if v.total.Short > 0 {
@@ -216,46 +217,32 @@
 // long reads a prompt on as few engines as bring its first event in time, preferably on those without short requests.
 func (p *Planner) long(now time.Time, w Work, views []view) Placement {
 	slices.SortStableFunc(views, func(a, b view) int {
-		return cmp.Or(cmp.Compare(min(a.total.Short, 1), min(b.total.Short, 1)), cmp.Compare(a.total.Unread, b.total.Unread))
+		return cmp.Or(cmp.Compare(a.total.Unread, b.total.Unread), cmp.Compare(a.rank, b.rank))
 	})
-	free := slices.IndexFunc(views, func(v view) bool { return v.total.Short > 0 })
-	if free < 0 {
-		free = len(views)
-	}
 	read := w.Read()
-	count, expected := readers(read, views[:free], time.Duration(wantedShare*float64(w.Target)))
-	if count == 0 || expected > time.Duration(lateShare*float64(w.Target)) {
-		count, expected = p.spill(w, read, views, free, count, expected)
+	var chosen []view
+	free := func(v *view, _ time.Duration) bool { return v.total.Short == 0 }
+	chosen, expected := readers(read, views, time.Duration(wantedShare*float64(w.Target)), free)
+	if len(chosen) == 0 || expected > time.Duration(lateShare*float64(w.Target)) {
+		spill := func(v *view, part time.Duration) bool {
+			return v.total.Short == 0 || v.total.Unread+part <= spillUnread
+		}
+		if more, at := readers(read, views, 0, spill); len(chosen) == 0 || len(more) > 0 && at < expected {
+			chosen, expected = more, at
+		}
+	}
+	if len(chosen) == 0 {
+		chosen, expected = []view{views[0]}, views[0].total.Unread+read+passTime
 	}
-	chosen := views[:count]
-	part := read / time.Duration(count)
+	part := read / time.Duration(len(chosen))
 	if !w.Due.IsZero() && now.Add(expected).After(w.Due) && expected-part > heldUnread &&
 		now.Add(expected+holdMargin).Before(w.Latest) {
 		return Hold{For: holdStep, Expected: expected}
 	}
 	needs := w.Prompt + w.Answer
 	reserved := float64(needs) > memoryShare*float64(w.Engine.MemoryTokens)
-	first := 0
-	for i := range chosen {
-		a, b := &chosen[i], &chosen[first]
-		if fits(w, a, needs) != fits(w, b, needs) {
-			if fits(w, a, needs) {
-				first = i
-			}
-			continue
-		}
-		if a.total.Short != b.total.Short {
-			if a.total.Short < b.total.Short {
-				first = i
-			}
-			continue
-		}
-		if a.total.Memory < b.total.Memory {
-			first = i
-		}
-	}
-	chosen[0], chosen[first] = chosen[first], chosen[0]
-	if count == 1 && !reserved {
+	slices.SortStableFunc(chosen, func(a, b view) int { return p.compareWriters(w, needs, &a, &b) })
+	if len(chosen) == 1 && !reserved {
 		return Send{Server: chosen[0].server, Expected: expected}
 	}
 	j := Joint{Part: part, Reserved: reserved, Expected: expected}
@@ -265,42 +252,59 @@
 	return j
 }
 
-// readers returns how many of the engines, which are sorted by outstanding reading, read a prompt together, and when
-// they will have read it: the fewest that are done within wanted, otherwise those that are done first.
-func readers(read time.Duration, views []view, wanted time.Duration) (count int, done time.Duration) {
+// compareWriters orders engines by how well they write the answer to a prompt: those with memory for it first, then those
+// without short requests, in the zone, and with the most memory free.
+func (p *Planner) compareWriters(w Work, tokens int64, a, b *view) int {
+	return cmp.Or(
+		compareBool(fits(w, b, tokens), fits(w, a, tokens)),
+		cmp.Compare(min(a.total.Short, 1), min(b.total.Short, 1)),
+		compareBool(b.server.Zone == p.zone, a.server.Zone == p.zone),
+		cmp.Compare(a.total.Memory, b.total.Memory),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// readers returns the engines, of those that may read a part, that read a prompt together, and when they will have read
+// it: the fewest that are done within wanted with parts that are not too long, otherwise those that are done first. The
+// views are sorted by outstanding reading.
+func readers(read time.Duration, views []view, wanted time.Duration, may func(*view, time.Duration) bool) ([]view, time.Duration) {
+	var best []view
+	var done time.Duration
+	chosen := make([]view, 0, maxReaders)
 	for n := 1; n <= min(len(views), maxReaders); n++ {
 		part := read / time.Duration(n)
 		if n > 1 && part < leastPart {
 			break
 		}
-		at := views[n-1].total.Unread + part + passTime
-		if count == 0 || at < done {
-			count, done = n, at
-		}
-		if at <= wanted && part <= longPart {
-			return n, at
-		}
-	}
-	return count, done
-}
-
-// spill adds engines with short requests where the part that each of them reads stays below spillUnread.
-func (p *Planner) spill(w Work, read time.Duration, views []view, free, count int, expected time.Duration) (int, time.Duration) {
-	for n := max(count, free) + 1; n <= min(len(views), maxReaders); n++ {
-		part := read / time.Duration(n)
-		worst := time.Duration(0)
-		for i := range n {
-			worst = max(worst, views[i].total.Unread)
+		chosen = chosen[:0]
+		for i := range views {
+			if may(&views[i], part) {
+				chosen = append(chosen, views[i])
+			}
+			if len(chosen) == n {
+				break
+			}
 		}
-		if views[n-1].total.Unread+part > spillUnread && count > 0 {
+		if len(chosen) < n {
 			continue
 		}
-		if at := worst + part + passTime; count == 0 || at < expected {
-			count, expected = n, at
+		at := chosen[n-1].total.Unread + part + passTime
+		intime := at <= wanted && part <= longPart
+		if len(best) == 0 || at < done || intime {
+			best, done = slices.Clone(chosen), at
+		}
+		if intime {
+			break
 		}
 	}
-	if count == 0 {
-		count, expected = 1, views[0].total.Unread+read+passTime
-	}
-	return count, expected
+	return best, done
 }
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -52,6 +52,12 @@
 	b.tokens += b.share()
 }
 
+// Allows reports whether there is a token, without taking it.
+func (b *RetryBudget) Allows(now time.Time) bool {
+	b.age(now)
+	return b.tokens >= 1
+}
+
 // Retry takes a token and reports whether there was one.
 func (b *RetryBudget) Retry(now time.Time) bool {
 	b.age(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,7 +176,7 @@
 }
 
 // exchange sends the request to the attempt's backend server.
-func (q *request) exchange(a *attempt, wait time.Duration, events resume) (*backend.Exchange, Reply, error) {
+func (q *request) exchange(a *attempt, wait time.Duration, extend func() time.Duration, events resume) (*backend.Exchange, Reply, error) {
 	g := q.g
 	remaining := q.deadline.Sub(g.clock.Now())
 	out := Attempt{Server: a.server, Workspace: q.admitted.Workspace, Remaining: remaining, Urgency: -1}
@@ -195,7 +195,7 @@
 	out.ResumeAfter, out.Resumes = events.after, events.resumes
 	plain := q.admitted.Route.Kind != route.Stream
 	plan := backend.Plan{
-		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining),
+		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining), Extend: extend,
 		Fresh: q.admitted.Route.Kind == route.Unsafe,
 		Own:   func(resp *http.Response) bool { return g.owns(&q.call, resp) },
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -53,7 +53,7 @@
 }
 
 func (q *request) plainAttempt(a *attempt) step {
-	x, reply, err := q.exchange(a, q.plainWait(a), resume{})
+	x, reply, err := q.exchange(a, q.plainWait(a), nil, resume{})
 	if err != nil {
 		return q.lost(a, err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,6 +18,8 @@
 	// firstWaitLeast and firstWaitFactor bound the wait for the first event: the least time, and times the prediction.
 	firstWaitLeast  = 900 * time.Millisecond
 	firstWaitFactor = 2.5
+	// extendStep is the time between two looks at a silent attempt that is waited for longer.
+	extendStep = 200 * time.Millisecond
 	// gapWaitLeast and gapWaitFactor bound the wait for the next event: the least time, and times the longest pause that
 	// is on time.
 	gapWaitLeast  = time.Second
@@ -54,6 +56,25 @@
 	}
 }
 
+// extend returns the function that decides whether a silent attempt is waited for longer: while its backend server makes
+// progress with other requests, or when the request cannot be sent again.
+func (q *request) extend(a *attempt) func() time.Duration {
+	return func() time.Duration {
+		g := q.g
+		now := g.clock.Now()
+		remaining := q.deadline.Sub(now)
+		if remaining <= 0 || q.ctx.Err() != nil {
+			return 0
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if a.last || g.planner.Moving(now, a.ticket) || !g.budget(q.service).Allows(now) {
+			return min(extendStep, remaining)
+		}
+		return 0
+	}
+}
+
 // firstWait returns how long an attempt may wait for its first event.
 func (q *request) firstWait(a *attempt) time.Duration {
 	remaining := q.deadline.Sub(q.g.clock.Now())
@@ -89,7 +110,7 @@
 	started := q.g.clock.Now()
 	wait := q.firstWait(a)
 	after, resumes := events.Last()
-	x, reply, err := q.exchange(a, wait, resume{after, resumes})
+	x, reply, err := q.exchange(a, wait, q.extend(a), resume{after, resumes})
 	if err != nil {
 		return q.lost(a, err)
 	}
@@ -144,7 +165,7 @@
 	flusher := http.NewResponseController(q.w)
 	buf := make([]byte, readBuffer)
 	for {
-		if err := x.ReadWithin(wait); err != nil {
+		if err := x.Wait(wait, q.extend(a)); err != nil && !errors.Is(err, io.EOF) {
 			return x.Explain(q.ctx, err)
 		}
 		n, err := x.Response.Body.Read(buf)
@@ -187,7 +208,7 @@
 	sent := false
 	for event := events.Next(); event != nil; event = events.Next() {
 		if !sent {
-			q.begun(a)
+			q.progress(a)
 			if !q.delivered {
 				q.commit(a, x)
 			}
@@ -200,9 +221,10 @@
 	return sent, nil
 }
 
-func (q *request) begun(a *attempt) {
+func (q *request) progress(a *attempt) {
+	now := q.g.clock.Now()
 	q.g.mu.Lock()
-	q.g.planner.Begun(a.ticket)
+	q.g.planner.Progress(now, a.ticket)
 	q.g.mu.Unlock()
 }
 
