--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -251,13 +251,11 @@
 	}
 	x := &Exchange{conn: c, pool: p}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, err := x.run(r, plan)
-	if err != nil {
+	if err := x.run(r, plan); err != nil {
 		x.stop()
 		_ = c.Close()
 		return nil, x.explain(ctx, "exchange", err)
 	}
-	x.Response = resp
 	return x, nil
 }
 
@@ -277,39 +275,41 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, 4096), address: plan.Address}, nil
 }
 
-func (x *Exchange) run(r *http.Request, plan Plan) (*http.Response, error) {
+// run writes the request and reads the head of its answer into x.Response.
+func (x *Exchange) run(r *http.Request, plan Plan) error {
 	c := x.conn
 	if err := c.SetWriteDeadline(x.pool.clock.Now().Add(plan.HeadTimeout)); err != nil {
-		return nil, err
+		return err
 	}
 	if r.ContentLength > inlineBody {
 		x.written = make(chan error, 1)
 		go func() { x.written <- write(c, r) }()
 	} else if err := write(c, r); err != nil {
-		return nil, err
+		return err
 	}
 	for range staleAnswers {
 		if err := x.Wait(plan.HeadTimeout, plan.Extend); err != nil {
-			return nil, err
+			return err
 		}
-		resp, err := http.ReadResponse(c.reader, r)
+		resp, err := http.ReadResponse(c.reader, r) //nolint:bodyclose // Done closes the connection, and the body with it.
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
 		if plan.Own == nil || plan.Own(resp) {
-			return resp, nil
+			x.Response = resp
+			return nil
 		}
 		if !c.reused || resp.ContentLength < 0 || resp.ContentLength > maxDiscard {
 			break
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return nil, errForeign
+	return errForeign
 }
 
 // errForeign is the cause of KindMalformed for an answer to another request.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,7 +152,6 @@
 	// peers holds what each other gateway told last.
 	peers    map[string]*report
 	gateways int
-	services map[*route.Engine]struct{}
 	changed  bool
 	scratch  []view
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,7 +113,7 @@
 		q.sends--
 		if !q.held {
 			q.held = true
-			g.metrics.count("held", 1)
+			g.metrics.count("held")
 			g.log.Info("held", "request", q.call.ID, "expected-ms", p.Expected.Milliseconds(), "gateways", gateways)
 		}
 		return nil, p.For
@@ -148,7 +148,7 @@
 		return
 	}
 	q.outcome = "caller-left"
-	q.g.metrics.count("callers-left", 1)
+	q.g.metrics.count("callers-left")
 }
 
 // attemptsLeft returns how many further backend servers may run the request. Those that ended meanwhile don't count.
@@ -260,7 +260,7 @@
 	if failure.Kind == backend.KindBroken && !failure.Reused {
 		q.crashed(a)
 	}
-	q.g.metrics.count("attempts-"+string(failure.Kind), 1)
+	q.g.metrics.count("attempts-" + string(failure.Kind))
 	q.g.log.Info("attempt lost", "request", q.call.ID, "backend", a.server.ID, "kind", string(failure.Kind), "reused", failure.Reused,
 		"error", failure.Err.Error(), "elapsed-ms", q.elapsed().Milliseconds(), "delivered", q.delivered)
 	return again{"backend-" + string(failure.Kind)}
@@ -287,7 +287,7 @@
 	} else {
 		q.ended(a, dispatch.Full{})
 	}
-	q.g.metrics.count("attempts-refused", 1)
+	q.g.metrics.count("attempts-refused")
 	q.g.log.Info("attempt refused", "request", q.call.ID, "backend", a.server.ID, "status", r.Status, "culprit", r.Culprit,
 		"misdirected", r.Misdirected, "elapsed-ms", q.elapsed().Milliseconds())
 	return again{"backend-refused"}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -51,7 +51,7 @@
 			return nil
 		}
 		if err != nil {
-			g.metrics.count("store-errors", 1)
+			g.metrics.count("store-errors")
 			if g.store.Compacted(err) {
 				g.log.Info("history of the store is gone; reading everything", "revision", revision)
 				revision = 0
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -110,7 +110,7 @@
 }
 
 func (l *leases) order(ctx context.Context, s *roster.Server, r *http.Request) error {
-	l.q.g.metrics.count("orders", 1)
+	l.q.g.metrics.count("orders")
 	x, err := l.q.g.pool.Exchange(ctx, backend.Plan{Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout}, r)
 	if err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,7 +34,7 @@
 	return out
 }
 
-func (m *metrics) count(name string, n int64) { m.counters.Add(name, n) }
+func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
 // observe adds a latency to the histogram of a name.
 func (m *metrics) observe(name string, d time.Duration) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,7 +34,7 @@
 		}
 		state, err := peering.Decode(buf[:n])
 		if err != nil {
-			g.metrics.count("peer-errors", 1)
+			g.metrics.count("peer-errors")
 			g.log.Error(err, "datagram ignored", "from", from.String())
 			continue
 		}
@@ -54,7 +54,7 @@
 			if marks, err := suspect.DecodeMarks(s.Marks); err == nil {
 				g.suspects.Merge(now, marks)
 			} else {
-				g.metrics.count("peer-errors", 1)
+				g.metrics.count("peer-errors")
 			}
 		}
 	}
@@ -100,7 +100,7 @@
 			}
 			// A datagram that cannot be sent is replaced by the next one; the count shows it.
 			if _, err := g.peers.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
-				g.metrics.count("peer-errors", 1)
+				g.metrics.count("peer-errors")
 			}
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -147,7 +147,7 @@
 	control := http.NewResponseController(q.w)
 	// A failure to set the deadline leaves the wait to the caller's own patience.
 	if err := control.SetReadDeadline(q.deadline); err != nil {
-		q.g.metrics.count("deadline-errors", 1)
+		q.g.metrics.count("deadline-errors")
 	}
 	data, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
@@ -156,12 +156,12 @@
 		q.reject(BodyTooLarge, err)
 		return false
 	case err != nil:
-		q.g.metrics.count("bodies-cut", 1)
+		q.g.metrics.count("bodies-cut")
 		q.g.log.Info("body not received", "request", q.call.ID, "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		q.g.metrics.count("deadline-errors", 1)
+		q.g.metrics.count("deadline-errors")
 	}
 	q.body = data
 	return true
@@ -240,7 +240,7 @@
 
 // reject ends the request with an answer that it is wrong.
 func (q *request) reject(why Rejection, cause error) {
-	q.g.metrics.count("rejected-"+string(why), 1)
+	q.g.metrics.count("rejected-" + string(why))
 	q.g.log.Info("request rejected", "request", q.call.ID, "why", string(why), "cause", cause.Error())
 	q.g.protocol.Fail(q.w, &q.call, Rejected{why})
 }
@@ -248,7 +248,7 @@
 // refuse ends the request with the promise that it has not run and never will.
 func (q *request) refuse(why string, after time.Duration) {
 	q.outcome = "refused-" + why
-	q.g.metrics.count("refused-"+why, 1)
+	q.g.metrics.count("refused-" + why)
 	q.g.protocol.Fail(q.w, &q.call, NotRun{RetryAfter: after})
 }
 
@@ -256,7 +256,7 @@
 // answer that ends early must not look whole.
 func (q *request) fail(why string) {
 	q.outcome = "failed-" + why
-	q.g.metrics.count("failed-"+why, 1)
+	q.g.metrics.count("failed-" + why)
 	if q.delivered {
 		q.finish()
 		panic(http.ErrAbortHandler)
@@ -276,8 +276,8 @@
 // finish writes the line that tells how the request ended.
 func (q *request) finish() {
 	took := q.elapsed()
-	q.g.metrics.count("requests", 1)
-	q.g.metrics.count("outcome-"+q.outcome, 1)
+	q.g.metrics.count("requests")
+	q.g.metrics.count("outcome-" + q.outcome)
 	q.g.metrics.observe(q.admitted.Route.Name, took)
 	q.g.log.Info("request ended", "request", q.call.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
 		"workspace", q.admitted.Workspace, "table", q.admitted.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,11 +56,11 @@
 	Until  time.Time
 }
 
-// ZoneOut and ZoneIn mean that a zone was taken out or came back.
-type (
-	ZoneOut struct{ Zone string }
-	ZoneIn  struct{ Zone string }
-)
+// ZoneOut means that operators took a zone out.
+type ZoneOut struct{ Zone string }
+
+// ZoneIn means that a zone is back in service.
+type ZoneIn struct{ Zone string }
 
 // None means that nothing changed.
 type None struct{}
--- a/pkg/answer/events.go
+++ b/pkg/answer/events.go
@@ -36,10 +36,11 @@
 // Restart drops the unfinished event, before the stream goes on at another source.
 func (e *Events) Restart() { e.pending = e.pending[:0] }
 
-// Write takes bytes of the stream. It returns an Error of KindEvent for an event that is too large.
+// Write takes bytes of the stream, of which Next must take the whole events before the next call. It returns an Error of
+// KindEvent for an event that is too large.
 func (e *Events) Write(data []byte) error {
-	if len(e.pending)+len(data) > maxEvent && bytes.Index(e.pending, []byte("\n\n")) < 0 {
-		return &Error{Op: "write", Kind: KindEvent, Have: uint64(len(e.pending) + len(data)), Want: maxEvent}
+	if size := len(e.pending) + len(data); size > maxEvent {
+		return &Error{Op: "write", Kind: KindEvent, Have: uint64(size), Want: maxEvent}
 	}
 	e.pending = append(e.pending, data...)
 	return nil
