--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,224 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/utils/clock"
+
+	"berylward.example/berylward/internal/gateway"
+	"berylward.example/berylward/internal/roster"
+	"berylward.example/berylward/internal/route"
+	"berylward.example/berylward/internal/standin"
+	"berylward.example/berylward/internal/standin/direct"
+	"berylward.example/berylward/platform"
+)
+
+const (
+	callerKey  = "key-of-cuenca"
+	workspace  = "cuenca"
+	callerHost = "desk.example"
+)
+
+var (
+	storeAddress  = netip.MustParseAddrPort("127.0.0.1:9000")
+	callerAddress = netip.MustParseAddrPort("127.0.0.1:9001")
+	readyAddress  = netip.MustParseAddrPort("127.0.0.1:9002")
+)
+
+// bootClock is a clock of which a test can say that the instance was suspended.
+type bootClock struct {
+	clock.RealClock
+	suspended atomic.Int64
+}
+
+func (c *bootClock) Now() time.Time {
+	return c.RealClock.Now().Add(time.Duration(c.suspended.Load()))
+}
+
+func (c *bootClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// site is a gateway with the stand-ins around it, on virtual time.
+type site struct {
+	t        *testing.T
+	store    *direct.Store
+	backends []*direct.Backend
+	gateway  *gateway.Gateway
+	boot     *bootClock
+	client   *http.Client
+	ready    *http.Client
+	version  int64
+	sequence int
+	// servers of the backend servers, to stop them.
+	servers   []*http.Server
+	listeners map[netip.AddrPort]*standin.Memory
+}
+
+// routes of the sites under test, by path.
+var testRoutes = []route.Route{
+	{Name: "unsafe", Host: callerHost, Prefix: "/book/", Kind: route.Unsafe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
+		MaxAttempts: 1, Shares: []route.Share{{Service: "desk", Weight: 1}}},
+	{Name: "safe", Host: callerHost, Prefix: "/look/", Kind: route.Safe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
+		MaxAttempts: 2, Shares: []route.Share{{Service: "desk", Weight: 1}}},
+	{Name: "stream", Host: callerHost, Prefix: "/draft/", Kind: route.Stream, Timeout: 10 * time.Second, Target: 300 * time.Millisecond,
+		MaxGap: 250 * time.Millisecond, MaxAttempts: 2, Resumable: true, Shares: []route.Share{{Service: "pool", Weight: 1}}},
+	{Name: "once", Host: callerHost, Prefix: "/once/", Kind: route.Stream, Timeout: 10 * time.Second, Target: 300 * time.Millisecond,
+		MaxAttempts: 2, Shares: []route.Share{{Service: "pool", Weight: 1}}},
+	{Name: "public", Host: callerHost, Prefix: "/open/", Kind: route.Safe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
+		MaxAttempts: 2, Public: true, Shares: []route.Share{{Service: "desk", Weight: 1}}},
+}
+
+var testEngine = &route.Engine{
+	Slots: 16, MemoryTokens: 315000, Stride: 51, Step: 850 * time.Microsecond, ReadPerSecond: 177000,
+	PairsPerMillion: 184 * time.Microsecond,
+}
+
+// withSite runs fn with a gateway, two backend servers of each service, a store and a client, all in memory.
+func withSite(t *testing.T, fn func(*site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{t: t, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, listeners: map[netip.AddrPort]*standin.Memory{}}
+		s.publish(map[string]string{callerKey: workspace}, testRoutes)
+		for i, service := range []string{"desk", "desk", "pool", "pool"} {
+			s.addBackend(service, i+1)
+		}
+		storeListener := s.listen(storeAddress, s.store)
+		callers, ready := standin.NewMemory(callerAddress), standin.NewMemory(readyAddress)
+		s.client, s.ready = callers.Client(), ready.Client()
+		store := platform.NewStore(storeAddress, s.boot, storeListener.DialContext)
+		g, err := gateway.Start(gateway.Settings{
+			Instance: "front-1", Zone: "el-centro", Callers: callerAddress, Readiness: readyAddress, StopWithin: 8 * time.Second,
+			RevokeWithin: 5 * time.Second, RetryShare: 0.2, RetryReserve: 100, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
+		}, platform.Protocol{}, store, gateway.WithBootClock(s.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(s.dial))
+		assert.NilError(t, err)
+		s.gateway = g
+		time.Sleep(time.Second)
+		fn(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.NilError(t, g.Stop(ctx))
+		s.client.CloseIdleConnections()
+		s.ready.CloseIdleConnections()
+		store.Close()
+		for _, server := range s.servers {
+			assert.NilError(t, server.Close())
+		}
+	})
+}
+
+func (s *site) listen(address netip.AddrPort, handler http.Handler) *standin.Memory {
+	memory := standin.NewMemory(address)
+	server := &http.Server{Handler: handler}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(memory) }()
+	s.listeners[address] = memory
+	return memory
+}
+
+func (s *site) addBackend(service string, number int) {
+	b := direct.NewBackend(roster.Server{
+		ID: fmt.Sprintf("i-%d", number), Service: service, Zone: fmt.Sprintf("zone-%d", number%2), Slots: 6,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9100+number)), Born: time.UnixMilli(int64(number)),
+	}, clock.RealClock{})
+	if service == "desk" {
+		b.Events = 0
+	}
+	s.backends = append(s.backends, b)
+	s.listen(b.Server.Address, b)
+	s.announce(b, false)
+}
+
+func (s *site) announce(b *direct.Backend, draining bool) {
+	server := b.Server
+	server.Draining = draining
+	value, err := platform.EncodeServer(server, 0)
+	assert.NilError(s.t, err)
+	s.store.Put(platform.ServerKey(server.ID), value)
+}
+
+func (s *site) publish(keys map[string]string, routes []route.Route) {
+	s.version++
+	value, err := platform.EncodeTable(s.version, routes,
+		[]route.Service{{Name: "desk"}, {Name: "pool", Engine: testEngine}}, keys, 1<<20)
+	assert.NilError(s.t, err)
+	s.store.Put(platform.ConfigKey, value)
+}
+
+func (s *site) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return s.listeners[address].DialContext(ctx, "tcp", "")
+}
+
+// result is what a caller got.
+type result struct {
+	platform.Answer
+	id   string
+	body string
+	// whole says that the body ended as it should.
+	whole bool
+}
+
+func (s *site) call(method, path string, change func(*gateway.Call)) result {
+	s.sequence++
+	c := gateway.Call{
+		ID: fmt.Sprintf("call-%d", s.sequence), Method: method, Target: path, Host: callerHost, Key: callerKey, Patience: 2 * time.Second,
+	}
+	if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/once/") {
+		c.Patience, c.Prompt = 10*time.Second, &gateway.Prompt{Tokens: 5000, MaxAnswer: 300}
+	}
+	if change != nil {
+		change(&c)
+	}
+	var body []byte
+	if method == http.MethodPost {
+		body = []byte("body of " + c.ID)
+	}
+	resp, err := s.client.Do(platform.EncodeCall(callerAddress, c, body).WithContext(s.t.Context()))
+	if err != nil {
+		return result{id: c.ID}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a, err := platform.DecodeAnswer(resp)
+	assert.NilError(s.t, err)
+	text, err := io.ReadAll(resp.Body)
+	return result{Answer: a, id: c.ID, body: string(text), whole: err == nil}
+}
+
+// behave sets the behavior of the backend servers of a service in their order.
+func (s *site) behave(service string, behaviors ...direct.Behavior) {
+	for _, b := range s.backends {
+		if b.Server.Service == service && len(behaviors) > 0 {
+			b.Behave(behaviors[0])
+			behaviors = behaviors[1:]
+		}
+	}
+}
+
+// runs returns the runs of a request at all backend servers.
+func (s *site) runs(id string) []direct.Run {
+	var runs []direct.Run
+	for _, b := range s.backends {
+		for _, r := range b.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+func stream(id string, from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(direct.Event(id, n))
+	}
+	return b.String()
+}
