--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -303,4 +303,3 @@
 		assert.Equal(t, s.gateway.Ready(), true)
 	})
 }
-
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,128 @@
+package peering_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/peering"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	self  = netip.MustParseAddrPort("10.0.0.1:7000")
+	seed  = netip.MustParseAddrPort("10.0.0.2:7000")
+	other = netip.MustParseAddrPort("10.0.0.3:7000")
+)
+
+// Guards against old state that replaces newer, and a restarted gateway that is not heard.
+func TestHear(t *testing.T) {
+	cases := map[string]struct {
+		from  netip.AddrPort
+		state peering.State
+		fresh bool
+	}{
+		"newer":            {other, peering.State{Incarnation: 5, Sequence: 8}, true},
+		"repeated":         {other, peering.State{Incarnation: 5, Sequence: 7}, false},
+		"older":            {other, peering.State{Incarnation: 5, Sequence: 6}, false},
+		"next incarnation": {other, peering.State{Incarnation: 6, Sequence: 1}, true},
+		"past incarnation": {other, peering.State{Incarnation: 4, Sequence: 99}, false},
+		"own":              {self, peering.State{Incarnation: 9, Sequence: 1}, false},
+		"another gateway":  {seed, peering.State{Incarnation: 1, Sequence: 1}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := peering.NewGroup(self, "z", []netip.AddrPort{seed})
+			assert.DeepEqual(t, g.Hear(start, other, peering.State{Incarnation: 5, Sequence: 7}), peering.Fresh{Joined: true})
+			_, fresh := g.Hear(start, tc.from, tc.state).(peering.Fresh)
+			assert.Equal(t, fresh, tc.fresh)
+		})
+	}
+}
+
+// Guards against gateways that never learn of each other, that are counted after their end or while they stop, and against
+// datagrams without bound.
+func TestGroup(t *testing.T) {
+	g := peering.NewGroup(self, "z", []netip.AddrPort{seed, self})
+	assert.Assert(t, slices.Equal(g.Due(start, false), []netip.AddrPort{seed}))
+	assert.Equal(t, len(g.Due(start.Add(10*time.Millisecond), true)), 0, "a silent seed is told once a second")
+	g.Hear(start, seed, peering.State{Incarnation: 1, Sequence: 1, Zone: "z", Members: []netip.AddrPort{other, self}})
+	assert.Equal(t, g.Size(), 2)
+	now := start.Add(time.Second)
+	assert.Equal(t, len(g.Due(now, true)), 2, "a gateway that another one names is told")
+	assert.Equal(t, len(g.Due(now.Add(5*time.Millisecond), true)), 0)
+	assert.Equal(t, len(g.Due(now.Add(40*time.Millisecond), false)), 1, "a change that waits goes out")
+	assert.Equal(t, len(g.Due(now.Add(400*time.Millisecond), false)), 0)
+	assert.Equal(t, len(g.Due(now.Add(600*time.Millisecond), false)), 1, "an unchanged state goes out at times")
+	g.Hear(now, other, peering.State{Incarnation: 1, Sequence: 1, Stopping: true})
+	assert.Equal(t, g.Size(), 2)
+	assert.Equal(t, len(g.Expire(start.Add(3500*time.Millisecond))), 1)
+	assert.Equal(t, g.Size(), 1)
+}
+
+// Guards against large groups that tell all zones at the pace of their own.
+func TestPace(t *testing.T) {
+	g := peering.NewGroup(self, "z", nil)
+	for i := range 20 {
+		zone := "z"
+		if i%2 == 1 {
+			zone = "far"
+		}
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)
+		g.Hear(start, from, peering.State{Incarnation: 1, Sequence: 1, Zone: zone})
+	}
+	assert.Equal(t, len(g.Due(start, true)), 20)
+	sent := 0
+	for at := time.Duration(0); at < time.Second; at += 5 * time.Millisecond {
+		sent += len(g.Due(start.Add(at), true))
+	}
+	assert.Assert(t, sent >= 170 && sent <= 230, "%d datagrams in a second", sent)
+}
+
+// Guards against fields that are lost on the wire, and datagrams that are too large or hold senseless numbers.
+func TestMessages(t *testing.T) {
+	state := peering.State{
+		Incarnation: 7, Sequence: 9, Zone: "el-centro", Stopping: true, Members: []netip.AddrPort{seed}, Marks: []byte{1},
+		Loads: []dispatch.Load{{Key: 3, Short: 2, Long: 1, Unread: 250 * time.Millisecond, Memory: 9000, Avoid: time.Second}},
+	}
+	data, err := peering.Encode(state)
+	assert.NilError(t, err)
+	got, err := peering.Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, state, cmpopts.EquateComparable(netip.AddrPort{}))
+	state.Loads = nil
+	for i := range 500 {
+		state.Loads = append(state.Loads, dispatch.Load{Key: dispatch.Key(i + 1<<30), Short: 10, Unread: time.Duration(i) * time.Second})
+	}
+	data, err = peering.Encode(state)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 1400, "%d bytes", len(data))
+	got, err = peering.Decode(data)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Loads[0].Unread, 499*time.Second, "the largest loads are kept")
+	for name, broken := range map[string][]byte{"empty": {}, "no array": {0x01}, "cut": data[:40]} {
+		_, err := peering.Decode(broken)
+		assert.ErrorContains(t, err, "decode", name)
+	}
+}
+
+// Guards against datagrams that end the process.
+func FuzzDecode(f *testing.F) {
+	data, err := peering.Encode(peering.State{Loads: []dispatch.Load{{Key: 1, Short: 1}}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := peering.Decode(data)
+		if err != nil {
+			return
+		}
+		for _, l := range s.Loads {
+			assert.Assert(t, l.Short >= 0 && l.Unread >= 0 && l.Avoid >= 0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,107 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func table(version int64) *route.Table {
+	return route.NewTable(version, []route.Route{
+		{Name: "all", Host: "a.example", Prefix: "/", Kind: route.Safe},
+		{Name: "deep", Host: "a.example", Prefix: "/deep/er/", Kind: route.Unsafe},
+		{Name: "mid", Host: "a.example", Prefix: "/deep/", Kind: route.Stream},
+		{Name: "open", Host: "b.example", Prefix: "/open/", Public: true},
+	}, []route.Service{{Name: "desk"}}, map[string]string{"key": "cuenca"}, route.Limits{})
+}
+
+// Guards against a route with a shorter prefix than another one that fits, and against one that a path only begins like.
+func TestMatch(t *testing.T) {
+	cases := map[string]struct{ host, path, want string }{
+		"longest":           {"a.example", "/deep/er/x", "deep"},
+		"next longest":      {"a.example", "/deep/erx", "mid"},
+		"root":              {"a.example", "/deeper/", "all"},
+		"host in capitals":  {"A.Example", "/x", "all"},
+		"prefix itself":     {"b.example", "/open/", "open"},
+		"without the slash": {"b.example", "/open", ""},
+		"other host":        {"c.example", "/", ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := table(1).Match(tc.host, tc.path); r != nil {
+				got = r.Name
+			}
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
+
+// Guards against keyed requests, and denials, by a table that is not proven to be the newest.
+func TestAdmit(t *testing.T) {
+	cases := map[string]struct {
+		host, path, key string
+		age             time.Duration
+		want            route.Admission
+	}{
+		"fresh":                {"a.example", "/x", "key", time.Second, route.Admitted{Workspace: "cuenca", Version: 1}},
+		"fresh, unknown key":   {"a.example", "/x", "other", time.Second, route.Denied{Reason: route.UnknownKey, Version: 1}},
+		"fresh, no key":        {"a.example", "/x", "", time.Second, route.Denied{Reason: route.UnknownKey, Version: 1}},
+		"fresh, no route":      {"b.example", "/x", "key", time.Second, route.Denied{Reason: route.NoRoute, Version: 1}},
+		"old, key":             {"a.example", "/x", "key", 5 * time.Second, route.Unproven{Age: 5 * time.Second}},
+		"old, unknown key":     {"a.example", "/x", "other", 5 * time.Second, route.Unproven{Age: 5 * time.Second}},
+		"old, no route":        {"b.example", "/x", "key", 5 * time.Second, route.Unproven{Age: 5 * time.Second}},
+		"old, public":          {"b.example", "/open/x", "", 5 * time.Second, route.Admitted{Version: 1}},
+		"too old to deny only": {"a.example", "/x", "other", 3500 * time.Millisecond, route.Unproven{Age: 3500 * time.Millisecond}},
+		"not too old to serve": {"a.example", "/x", "key", 3500 * time.Millisecond, route.Admitted{Workspace: "cuenca", Version: 1}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := route.NewBook(4500 * time.Millisecond)
+			assert.DeepEqual(t, b.Admit(start, tc.host, tc.path, tc.key), route.Unproven{})
+			assert.Assert(t, b.Take(table(1)))
+			b.Prove(start)
+			got := b.Admit(start.Add(tc.age), tc.host, tc.path, tc.key)
+			if admitted, ok := got.(route.Admitted); ok {
+				admitted.Route = nil
+				got = admitted
+			}
+			assert.DeepEqual(t, got, tc.want)
+		})
+	}
+}
+
+// Guards against a table that goes back to an older version, and a proof that does.
+func TestBookRises(t *testing.T) {
+	b := route.NewBook(time.Second)
+	assert.Assert(t, b.Take(table(5)))
+	assert.Assert(t, !b.Take(table(4)))
+	assert.Assert(t, !b.Take(table(5)))
+	assert.Assert(t, b.Take(table(9)))
+	assert.Equal(t, b.Table().Version, int64(9))
+	b.Prove(start.Add(time.Minute))
+	b.Prove(start)
+	assert.Equal(t, b.Age(start.Add(time.Minute)), time.Duration(0))
+	assert.Assert(t, !b.Fresh(start.Add(time.Minute+time.Second)))
+}
+
+// Guards against reading times that leave out the attention of each token to all earlier ones.
+func TestReadTime(t *testing.T) {
+	e := &route.Engine{ReadPerSecond: 177000, PairsPerMillion: 184 * time.Microsecond}
+	cases := map[string]struct {
+		tokens int64
+		want   time.Duration
+	}{"none": {0, 0}, "short": {5000, 30 * time.Millisecond}, "long": {154000, 3051 * time.Millisecond}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, e.ReadTime(tc.tokens).Truncate(time.Millisecond), tc.want)
+		})
+	}
+	var none *route.Engine
+	assert.Equal(t, none.ReadTime(5000), time.Duration(0))
+}
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -111,7 +111,9 @@
 }
 
 // Event returns the bytes of one event of a request's stream.
-func Event(id string, number int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number) }
+func Event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
+}
 
 // Body returns the answer to a request for a plain service.
 func Body(id string) string { return "answer to " + id }
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -208,4 +208,3 @@
 	}
 	_, _ = w.Write(data)
 }
-
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -37,7 +37,10 @@
 		for line := range q.lines {
 			// A reader that is gone must not end the process.
 			_, _ = out.Write(line)
-			if n := q.dropped.Swap(0); n > 0 && len(q.lines) < queueLines/2 {
+			if len(q.lines) >= queueLines/2 {
+				continue
+			}
+			if n := q.dropped.Swap(0); n > 0 {
 				_, _ = fmt.Fprintf(out, `{"time":%q,"level":"INFO","msg":"log lines dropped","slice":"telemetry","count":%d}`+"\n",
 					q.clock.Now().Format(time.RFC3339Nano), n)
 			}
