scenario: scripts use addresses that no other process can take

Cause: TestScripts/zone_out failed beside load: an entry ended with 'address already in use', because its port was looked up as free and then taken by an outgoing connection before the entry listened; the script only said that a ready path did not come about after 20 s of polls. The race detector found the output of a child read while it was written. Ruled out: a slow machine (the log names the entry that ended). Change: each test process uses a loopback host of its own, made from its process id; a script ends at once when a process has ended by itself; polls are bounded far beyond a busy machine's need; output is read under a lock. Conclusion: the verdict hangs neither on guessed ports nor on the machine's load.

--- a/internal/scenario/scripts_commands_test.go
+++ b/internal/scenario/scripts_commands_test.go
@@ -30,12 +30,23 @@
 	return status
 }
 
-// until polls until the condition holds; the bound only ends a script that would never end.
+// until polls until the condition holds or a process has ended by itself; the bound only ends a script that would never
+// end, and is far beyond what a busy machine needs.
 func (s *script) until(what string, done func() bool) error {
-	for range 1000 {
+	for range 15000 {
 		if done() {
 			return nil
 		}
+		for _, p := range s.processes {
+			if p.command == nil {
+				continue
+			}
+			select {
+			case <-p.gone:
+				return fmt.Errorf("%s did not come about: %s has ended", what, p.name)
+			default:
+			}
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	return fmt.Errorf("%s did not come about", what)
--- a/internal/scenario/scripts_test.go
+++ b/internal/scenario/scripts_test.go
@@ -6,11 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -76,8 +77,29 @@
 	address, status netip.AddrPort
 	// backend is the name of a sidecar's stand-in.
 	backend string
-	errors  bytes.Buffer
+	errors  lines
 	ended   chan error
+	// gone is closed when the process has ended.
+	gone chan struct{}
+}
+
+// lines collects what a process writes while it is read.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func scripted(f func(*script, []string) error) func(*testscript.TestScript, bool, []string) {
@@ -103,26 +125,26 @@
 	}
 }
 
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+// lastPort is the port that was given out last.
+var lastPort atomic.Uint32
+
+// firstPort is below the ports that systems give to outgoing connections.
+const firstPort = 10000
+
+// ownAddress returns a loopback address that no other process uses: its host is made from this process's id, and
+// outgoing connections come from 127.0.0.1. A port that is only looked up as free can be taken before it is used.
+func ownAddress() netip.AddrPort {
+	id := uint32(os.Getpid())
+	host := netip.AddrFrom4([4]byte{127, byte(id>>16) | 0x40, byte(id >> 8), byte(id)})
+	return netip.AddrPortFrom(host, uint16(firstPort+lastPort.Add(1)))
 }
 
 // start runs berylward in the background.
 func (s *script) start(name string, args ...string) (*process, error) {
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
+	address := ownAddress()
 	p := &process{name: name, address: address, args: append(args, "--listen", address.String())}
 	if args[0] != "stand-in" {
-		if p.status, err = freeAddress(); err != nil {
-			return nil, err
-		}
+		p.status = ownAddress()
 		p.args = append(p.args, "--admin-listen", p.status.String())
 	}
 	s.processes[name] = p
@@ -139,13 +161,15 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	p.command, p.ended = c, make(chan error, 1)
+	p.command, p.ended, p.gone = c, make(chan error, 1), make(chan struct{})
+	gone := p.gone
 	read := make(chan string, 1)
 	go func() {
 		line, _ := bufio.NewReader(out).ReadString('\n')
 		read <- line
 		_, _ = io.Copy(io.Discard, out)
 		p.ended <- c.Wait()
+		close(gone)
 	}()
 	if p.args[0] == "stand-in" && <-read == "" {
 		return fmt.Errorf("%s did not start", p.name)
