roster: lapsed entries are used only where they are the most; dispatch: reserved parts fit, heavy prompts wait

Change: lapsed entries count only while they are more than the others of their service; looked at every 100 ms. Parts of reserved memory are sized to what each engine has free. Prompts that read for more than twice their target wait for a mean outstanding reading of 100 ms, because each costs up to 20 s of engine time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -78,6 +78,10 @@
 	AllTried Reason = "all-tried"
 	// AllCold means that those in service are cold and have got what they bear this second.
 	AllCold Reason = "all-cold"
+	// NoMemory means that no engines together have memory for a prompt beyond one engine's.
+	NoMemory Reason = "no-memory"
+	// Overloaded means that the request waited for free engines for as long as it could.
+	Overloaded Reason = "overloaded"
 	// TooLarge means that the prompt exceeds the memory of all engines together.
 	TooLarge Reason = "too-large"
 )
@@ -123,8 +127,10 @@
 	servers []*state
 	part    time.Duration
 	memory  int64
-	short   bool
-	begun   bool
+	// reserved means that memory is held at each of the servers, otherwise only at the first.
+	reserved bool
+	short    bool
+	begun    bool
 }
 
 // state is what is known of one life of a backend server.
@@ -243,17 +249,19 @@
 		j.part = place.Part
 		j.memory = w.Prompt + w.Answer
 		if place.Reserved {
-			j.memory /= int64(len(place.Servers))
+			j.memory, j.reserved = j.memory/int64(len(place.Servers))+ReserveSlack, true
 		}
 	case Hold, Nowhere:
 		return 0
 	}
 	for i, st := range j.servers {
 		st.own.Unread += j.part
+		if i == 0 || j.reserved {
+			st.own.Memory += j.memory
+		}
 		if i > 0 {
 			continue
 		}
-		st.own.Memory += j.memory
 		if j.short {
 			st.own.Short++
 		} else {
@@ -305,8 +313,12 @@
 	delete(p.jobs, t)
 	p.read(j)
 	p.changed = true
+	for i, st := range j.servers {
+		if i == 0 || j.reserved {
+			st.own.Memory -= j.memory
+		}
+	}
 	st := j.servers[0]
-	st.own.Memory -= j.memory
 	if j.short {
 		st.own.Short--
 	} else {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -306,3 +306,46 @@
 		assert.Equal(t, len(loads), 0, "%+v", loads)
 	})
 }
+
+// Guards against reserved parts that are larger than what an engine has free: they are refused by every engine, again and
+// again, while more engines would hold the prompt.
+func TestReservedPartsFit(t *testing.T) {
+	cases := map[string]struct {
+		tokens int64
+		// used is the memory that each engine has in use, and engines how many there are.
+		used    int64
+		engines int
+		want    string
+	}{
+		"idle engines":          {388000, 0, 20, "joint"},
+		"two nearly full":       {388000, 90000, 2, "joint"},
+		"two too full":          {388000, 200000, 2, "hold"},
+		"one engine":            {388000, 0, 1, "too large"},
+		"more than all engines": {6000000, 0, 20, "too large"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := planner(1), servers(tc.engines)
+			var loads []dispatch.Load
+			for _, s := range list {
+				loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Memory: tc.used})
+			}
+			p.Heard(start, "other", loads)
+			w := long(tc.tokens)
+			w.Latest = start.Add(time.Hour)
+			switch got := p.Place(start, w, list, nil).(type) {
+			case dispatch.Joint:
+				assert.Equal(t, tc.want, "joint")
+				part := w.Prompt/int64(len(got.Servers)) + tc.used
+				assert.Assert(t, part < engine.MemoryTokens, "%d tokens at each of %d engines", part, len(got.Servers))
+			case dispatch.Hold:
+				assert.Equal(t, tc.want, "hold")
+			case dispatch.Nowhere:
+				assert.Equal(t, tc.want, "too large")
+				assert.Equal(t, got.Reason, dispatch.TooLarge)
+			case dispatch.Send:
+				t.Fatal("sent to one engine")
+			}
+		})
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -30,6 +30,10 @@
 	leastPart = 60 * time.Millisecond
 	// memoryShare of an engine's memory may be planned, because answers are longer than expected at times.
 	memoryShare = 0.92
+	// heavyTargets is how many times its target a prompt's reading must take on one engine for it to wait until the mean
+	// outstanding reading is at most heavyUnread. Reading grows with the square of a prompt's length and its value does not.
+	heavyTargets = 2
+	heavyUnread  = 100 * time.Millisecond
 	// queuedStep is the cost of each request beyond an engine's slots.
 	queuedStep = 150 * time.Millisecond
 	// peerLife is how long the loads told by another gateway count.
@@ -46,6 +50,9 @@
 	passTime = 60 * time.Millisecond
 )
 
+// ReserveSlack is added in tokens to each part of reserved memory, because engines keep memory in blocks.
+const ReserveSlack = 512
+
 // view is one backend server with its load from all gateways.
 type view struct {
 	server *roster.Server
@@ -82,6 +89,8 @@
 const (
 	// retryNoServer is when a caller may come back to a service without backend servers.
 	retryNoServer = 500 * time.Millisecond
+	// retryLarge is when memory for a prompt beyond one engine's may be free.
+	retryLarge = 2 * time.Second
 	// retryCold and retryTried are when a cold or refusing backend server may take a request.
 	retryCold  = 300 * time.Millisecond
 	retryTried = 200 * time.Millisecond
@@ -220,27 +229,38 @@
 		return cmp.Or(cmp.Compare(a.total.Unread, b.total.Unread), cmp.Compare(a.rank, b.rank))
 	})
 	read := w.Read()
-	var chosen []view
-	free := func(v *view, _ time.Duration) bool { return v.total.Short == 0 }
+	needs := w.Prompt + w.Answer
+	reserved := float64(needs) > memoryShare*float64(w.Engine.MemoryTokens)
+	holds := func(v *view, parts int) bool { return !reserved || fits(w, v, needs/int64(parts)+ReserveSlack) }
+	free := func(v *view, parts int) bool { return v.total.Short == 0 && holds(v, parts) }
 	chosen, expected := readers(read, views, time.Duration(wantedShare*float64(w.Target)), free)
 	if len(chosen) == 0 || expected > time.Duration(lateShare*float64(w.Target)) {
-		spill := func(v *view, part time.Duration) bool {
-			return v.total.Short == 0 || v.total.Unread+part <= spillUnread
+		spill := func(v *view, parts int) bool {
+			return holds(v, parts) && (v.total.Short == 0 || v.total.Unread+read/time.Duration(parts) <= spillUnread)
 		}
 		if more, at := readers(read, views, 0, spill); len(chosen) == 0 || len(more) > 0 && at < expected {
 			chosen, expected = more, at
 		}
 	}
 	if len(chosen) == 0 {
-		chosen, expected = []view{views[0]}, views[0].total.Unread+read+passTime
+		// Every engine has short requests, so the prompt makes some of them late.
+		chosen, expected = readers(read, views, 0, holds)
+	}
+	if len(chosen) == 0 {
+		return p.noMemory(now, w, needs, len(views))
 	}
 	part := read / time.Duration(len(chosen))
+	if read > heavyTargets*w.Target && meanUnread(views) > heavyUnread {
+		// The engines' time is worth more to shorter prompts.
+		if now.Add(expected + holdMargin).Before(w.Latest) {
+			return Hold{For: holdStep, Expected: expected}
+		}
+		return Nowhere{Reason: Overloaded, RetryAfter: retryLarge}
+	}
 	if !w.Due.IsZero() && now.Add(expected).After(w.Due) && expected-part > heldUnread &&
 		now.Add(expected+holdMargin).Before(w.Latest) {
 		return Hold{For: holdStep, Expected: expected}
 	}
-	needs := w.Prompt + w.Answer
-	reserved := float64(needs) > memoryShare*float64(w.Engine.MemoryTokens)
 	slices.SortStableFunc(chosen, func(a, b view) int { return p.compareWriters(w, needs, &a, &b) })
 	if len(chosen) == 1 && !reserved {
 		return Send{Server: chosen[0].server, Expected: expected}
@@ -252,6 +272,27 @@
 	return j
 }
 
+// meanUnread returns the mean outstanding reading of the engines.
+func meanUnread(views []view) time.Duration {
+	var sum time.Duration
+	for i := range views {
+		sum += views[i].total.Unread
+	}
+	return sum / time.Duration(len(views))
+}
+
+// noMemory decides about a prompt for which no engines together have memory now.
+func (p *Planner) noMemory(now time.Time, w Work, needs int64, engines int) Placement {
+	most := memoryShare * float64(w.Engine.MemoryTokens) * float64(min(engines, maxReaders))
+	if float64(needs) > most {
+		return Nowhere{Reason: TooLarge, RetryAfter: retryLarge}
+	}
+	if now.Add(holdMargin).Before(w.Latest) {
+		return Hold{For: holdStep}
+	}
+	return Nowhere{Reason: NoMemory, RetryAfter: retryLarge}
+}
+
 // compareWriters orders engines by how well they write the answer to a prompt: those with memory for it first, then those
 // without short requests, in the zone, and with the most memory free.
 func (p *Planner) compareWriters(w Work, tokens int64, a, b *view) int {
@@ -276,7 +317,7 @@
 // readers returns the engines, of those that may read a part, that read a prompt together, and when they will have read
 // it: the fewest that are done within wanted with parts that are not too long, otherwise those that are done first. The
 // views are sorted by outstanding reading.
-func readers(read time.Duration, views []view, wanted time.Duration, may func(*view, time.Duration) bool) ([]view, time.Duration) {
+func readers(read time.Duration, views []view, wanted time.Duration, may func(v *view, parts int) bool) ([]view, time.Duration) {
 	var best []view
 	var done time.Duration
 	chosen := make([]view, 0, maxReaders)
@@ -287,7 +328,7 @@
 		}
 		chosen = chosen[:0]
 		for i := range views {
-			if may(&views[i], part) {
+			if may(&views[i], n) {
 				chosen = append(chosen, views[i])
 			}
 			if len(chosen) == n {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,7 +22,7 @@
 	// awayAfter is how long the store must fail for entries to be able to lapse meanwhile.
 	awayAfter = time.Second
 	// expireEvery is how often lapses are looked at while the store is quiet.
-	expireEvery = 300 * time.Millisecond
+	expireEvery = 100 * time.Millisecond
 )
 
 // follow is the task that reads the store and then watches it, for as long as the gateway lives.
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/backend"
+	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
 )
 
@@ -21,8 +22,6 @@
 	leaseRenew = 1200 * time.Millisecond
 	// orderTimeout bounds an order, which engines answer in milliseconds.
 	orderTimeout = 400 * time.Millisecond
-	// leaseSlack is added to each part of a prompt's memory in tokens, because engines keep memory in blocks.
-	leaseSlack = 512
 )
 
 // leases is the memory of one prompt that is reserved at several engines.
@@ -40,7 +39,7 @@
 	parts := int64(len(servers))
 	return &leases{
 		q: q, servers: servers, name: q.call.ID + "-" + strconv.Itoa(q.sends),
-		tokens: (q.work.Prompt+q.work.Answer+parts-1)/parts + leaseSlack,
+		tokens: (q.work.Prompt+q.work.Answer+parts-1)/parts + dispatch.ReserveSlack,
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,7 +12,7 @@
 
 // lapseGrace is how long an entry that went missing while the store was away keeps its backend server in use after the
 // store's return. Entries of live servers are back within about two seconds; the rest of that time covers the way here.
-const lapseGrace = 1800 * time.Millisecond
+const lapseGrace = 1700 * time.Millisecond
 
 // Server is one life of a backend server. It is immutable.
 type Server struct {
@@ -95,7 +95,10 @@
 // Put takes an entry.
 func (r *Roster) Put(s Server) Change {
 	old := r.servers[s.ID]
-	delete(r.lapsing, s.ID)
+	if _, ok := r.lapsing[s.ID]; ok {
+		delete(r.lapsing, s.ID)
+		r.byService = nil
+	}
 	if old != nil && old.Revision >= s.Revision {
 		return None{}
 	}
@@ -118,6 +121,7 @@
 			return None{}
 		}
 		r.lapsing[id] = r.suspectUntil
+		r.byService = nil
 		return Lapsed{Server: s, Until: r.suspectUntil}
 	}
 	return r.drop(s)
@@ -191,14 +195,27 @@
 }
 
 // InService returns the backend servers of a service that may get new work, sorted by ID. The slice must not be changed.
+// Those whose entries lapsed are among them only while they are more than the others: a gateway that alone was cut off
+// from the store misses entries of backend servers that left meanwhile, and can do without those.
 func (r *Roster) InService(service string) []*Server {
 	if r.byService == nil {
 		r.byService = map[string][]*Server{}
+		lapsing := map[string][]*Server{}
 		for _, s := range r.servers {
-			if !s.Draining && !r.out[s.Zone] {
+			if s.Draining || r.out[s.Zone] {
+				continue
+			}
+			if _, ok := r.lapsing[s.ID]; ok {
+				lapsing[s.Service] = append(lapsing[s.Service], s)
+			} else {
 				r.byService[s.Service] = append(r.byService[s.Service], s)
 			}
 		}
+		for service, list := range lapsing {
+			if len(list) > len(r.byService[service]) {
+				r.byService[service] = append(r.byService[service], list...)
+			}
+		}
 		for _, list := range r.byService {
 			slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 		}
@@ -210,7 +227,7 @@
 // between the choice and the send.
 func (r *Roster) Current(s *Server) bool {
 	now := r.servers[s.ID]
-	return now != nil && now.Address == s.Address && now.Born.Equal(s.Born) && !now.Draining && !r.out[now.Zone]
+	return now != nil && now.Address == s.Address && now.Born.Equal(s.Born) && slices.Contains(r.InService(now.Service), now)
 }
 
 // Len returns the number of backend servers.
