dispatch: heavy prompts only on engines without short requests

Cause: in a burst of short prompts every engine writes their answers; a prompt that reads for 20 s then took 16 engines for 1.3 s each and made some 150 streams late. Change: they wait for engines without short requests and a mean outstanding reading of 50 ms, and are refused as not run when it is too late.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -349,3 +349,44 @@
 		})
 	}
 }
+
+// Guards against a prompt that takes many engines for a second each while all of them write answers to short prompts, or
+// have other reading to do.
+func TestHeavyWaits(t *testing.T) {
+	cases := map[string]struct {
+		load dispatch.Load
+		now  time.Time
+		want string
+	}{
+		"idle engines":          {dispatch.Load{}, start, "joint"},
+		"short requests":        {dispatch.Load{Short: 3}, start, "hold"},
+		"other reading":         {dispatch.Load{Long: 1, Unread: 300 * time.Millisecond}, start, "hold"},
+		"waited for too long":   {dispatch.Load{Short: 3}, start.Add(12 * time.Second), "overloaded"},
+		"reading for too long":  {dispatch.Load{Long: 1, Unread: 300 * time.Millisecond}, start.Add(12 * time.Second), "overloaded"},
+		"answers being written": {dispatch.Load{Long: 1}, start, "joint"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := planner(1), servers(20)
+			var loads []dispatch.Load
+			for _, s := range list {
+				l := tc.load
+				l.Key = dispatch.KeyOf(s)
+				loads = append(loads, l)
+			}
+			p.Heard(tc.now, "other", loads)
+			got := ""
+			switch place := p.Place(tc.now, long(450000), list, nil).(type) {
+			case dispatch.Joint:
+				got = "joint"
+			case dispatch.Hold:
+				got = "hold"
+			case dispatch.Nowhere:
+				got = string(place.Reason)
+			case dispatch.Send:
+				got = "send"
+			}
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 	// heavyTargets is how many times its target a prompt's reading must take on one engine for it to wait until the mean
 	// outstanding reading is at most heavyUnread. Reading grows with the square of a prompt's length and its value does not.
 	heavyTargets = 2
-	heavyUnread  = 100 * time.Millisecond
+	heavyUnread  = 50 * time.Millisecond
 	// queuedStep is the cost of each request beyond an engine's slots.
 	queuedStep = 150 * time.Millisecond
 	// peerLife is how long the loads told by another gateway count.
@@ -242,7 +242,8 @@
 			chosen, expected = more, at
 		}
 	}
-	if len(chosen) == 0 {
+	heavy := read > heavyTargets*w.Target
+	if len(chosen) == 0 && !heavy {
 		// Every engine has short requests, so the prompt makes some of them late.
 		chosen, expected = readers(read, views, 0, holds)
 	}
@@ -250,7 +251,7 @@
 		return p.noMemory(now, w, needs, len(views))
 	}
 	part := read / time.Duration(len(chosen))
-	if read > heavyTargets*w.Target && meanUnread(views) > heavyUnread {
+	if heavy && meanUnread(views) > heavyUnread {
 		// The engines' time is worth more to shorter prompts.
 		if now.Add(expected + holdMargin).Before(w.Latest) {
 			return Hold{For: holdStep, Expected: expected}
@@ -290,7 +291,7 @@
 	if now.Add(holdMargin).Before(w.Latest) {
 		return Hold{For: holdStep}
 	}
-	return Nowhere{Reason: NoMemory, RetryAfter: retryLarge}
+	return Nowhere{Reason: Overloaded, RetryAfter: retryLarge}
 }
 
 // compareWriters orders engines by how well they write the answer to a prompt: those with memory for it first, then those
