--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,8 @@
 	Server *roster.Server
 	// Expected is the predicted time to the first event.
 	Expected time.Duration
+	// Seen is the load of the backend server from all gateways, before this request.
+	Seen Load
 }
 
 // Joint names the backend servers that read a prompt together. Servers[0] gets the request and answers it.
@@ -57,6 +59,8 @@
 	// Reserved means that the prompt's memory has to be reserved at each of them first.
 	Reserved bool
 	Expected time.Duration
+	// Seen is the load of Servers[0] from all gateways, before this request.
+	Seen Load
 }
 
 // Hold means that the request will be late whatever is done, so those that can still be on time go first. It is to be
@@ -219,6 +223,17 @@
 	p.peers[gateway] = r
 }
 
+// OldestReport returns the age of the oldest loads of another gateway that count.
+func (p *Planner) OldestReport(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, r := range p.peers {
+		if age := now.Sub(r.at); age <= peerLife {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // Loads returns what this gateway has outstanding, and whether it changed since the last call.
 func (p *Planner) Loads(now time.Time) ([]Load, bool) {
 	changed := p.changed
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -163,7 +163,7 @@
 			best, bestCost = i, cost
 		}
 	}
-	return Send{Server: views[best].server}
+	return Send{Server: views[best].server, Seen: views[best].total}
 }
 
 // otherZone is the cost of another zone in shares of a plain backend server's slots.
@@ -197,7 +197,7 @@
 		best = p.soonest(w, views)
 	}
 	v := &views[best]
-	return Send{Server: v.server, Expected: v.total.Unread + w.Read() + passTime}
+	return Send{Server: v.server, Expected: v.total.Unread + w.Read() + passTime, Seen: v.total}
 }
 
 // soonest returns the engine that will have read a new prompt first.
@@ -264,9 +264,9 @@
 	}
 	slices.SortStableFunc(chosen, func(a, b view) int { return p.compareWriters(w, needs, &a, &b) })
 	if len(chosen) == 1 && !reserved {
-		return Send{Server: chosen[0].server, Expected: expected}
+		return Send{Server: chosen[0].server, Expected: expected, Seen: chosen[0].total}
 	}
-	j := Joint{Part: part, Reserved: reserved, Expected: expected}
+	j := Joint{Part: part, Reserved: reserved, Expected: expected, Seen: chosen[0].total}
 	for i := range chosen {
 		j.Servers = append(j.Servers, chosen[i].server)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// dialTimeoutPlain is for requests with short deadlines.
 	dialTimeoutPlain = 120 * time.Millisecond
+	// leastRemaining is the time below which no attempt is begun; its answer could not come in time.
+	leastRemaining = 5 * time.Millisecond
 	// urgencyShort and urgencyLong order prompts at the engine. Short ones are read first.
 	urgencyShort = 2
 	urgencyLong  = 5
@@ -52,6 +54,7 @@
 	leases   *leases
 	ticket   dispatch.Ticket
 	expected time.Duration
+	seen     dispatch.Load
 	joint    bool
 	last     bool // no further send is allowed after this one
 }
@@ -76,7 +79,7 @@
 	g := q.g
 	now := g.clock.Now()
 	remaining := q.deadline.Sub(now)
-	if remaining <= 0 || q.ctx.Err() != nil {
+	if remaining < leastRemaining || q.ctx.Err() != nil {
 		q.expire()
 		return nil, 0
 	}
@@ -92,7 +95,7 @@
 		placement = g.planner.Place(now, q.work, g.roster.InService(q.service), q.tried)
 		ticket = g.planner.Placed(now, q.work, placement)
 	}
-	gateways := g.group.Size()
+	gateways, told := g.group.Size(), g.planner.OldestReport(now)
 	g.mu.Unlock()
 	switch {
 	case !ok:
@@ -123,9 +126,9 @@
 		q.giveUp(string(p.Reason), p.RetryAfter)
 		return nil, 0
 	case dispatch.Send:
-		a.server, a.expected = p.Server, p.Expected
+		a.server, a.expected, a.seen = p.Server, p.Expected, p.Seen
 	case dispatch.Joint:
-		a.server, a.helpers, a.expected, a.joint = p.Servers[0], p.Servers[1:], p.Expected, true
+		a.server, a.helpers, a.expected, a.seen, a.joint = p.Servers[0], p.Servers[1:], p.Expected, p.Seen, true
 		if p.Reserved {
 			a.leases = newLeases(q, p.Servers)
 		}
@@ -133,13 +136,14 @@
 	a.last = q.sends >= maxSends || q.attemptsLeft() <= 1
 	g.log.Info("sent", "request", q.call.ID, "backend", a.server.ID, "send", q.sends, "helpers", len(a.helpers),
 		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", admitted.Version,
-		"gateways", gateways, "backend-revision", a.server.Revision)
+		"backend-revision", a.server.Revision, "short", a.seen.Short, "long", a.seen.Long, "unread-ms", a.seen.Unread.Milliseconds(),
+		"gateways", gateways, "told-ms", told.Milliseconds())
 	return a, 0
 }
 
 // expire ends a request whose time is over or whose caller has left.
 func (q *request) expire() {
-	if !q.g.clock.Now().Before(q.deadline) {
+	if q.deadline.Sub(q.g.clock.Now()) < leastRemaining {
 		if len(q.ran) == 0 && !q.delivered {
 			q.refuse("deadline", comeBack)
 			return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,7 +58,7 @@
 	client   *http.Client
 	ready    *http.Client
 	version  int64
-	sequence int
+	sequence atomic.Int64
 	// servers of the backend servers, to stop them.
 	servers   []*http.Server
 	listeners map[netip.AddrPort]*standin.Memory
@@ -84,7 +84,7 @@
 }
 
 // withSite runs fn with a gateway, two backend servers of each service, a store and a client, all in memory.
-func withSite(t *testing.T, fn func(*site)) {
+func withSite(t *testing.T, fn func(*site), options ...gateway.Option) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{t: t, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, listeners: map[netip.AddrPort]*standin.Memory{}}
 		s.publish(map[string]string{callerKey: workspace}, testRoutes)
@@ -98,7 +98,9 @@
 		g, err := gateway.Start(gateway.Settings{
 			Instance: "front-1", Zone: "el-centro", Callers: callerAddress, Readiness: readyAddress, StopWithin: 8 * time.Second,
 			RevokeWithin: 5 * time.Second, RetryShare: 0.2, RetryReserve: 100, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
-		}, platform.Protocol{}, store, gateway.WithBootClock(s.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(s.dial))
+		}, platform.Protocol{}, store, append([]gateway.Option{
+			gateway.WithBootClock(s.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(s.dial),
+		}, options...)...)
 		assert.NilError(t, err)
 		s.gateway = g
 		time.Sleep(time.Second)
@@ -167,9 +169,8 @@
 }
 
 func (s *site) call(method, path string, change func(*gateway.Call)) result {
-	s.sequence++
 	c := gateway.Call{
-		ID: fmt.Sprintf("call-%d", s.sequence), Method: method, Target: path, Host: callerHost, Key: callerKey, Patience: 2 * time.Second,
+		ID: fmt.Sprintf("call-%d", s.sequence.Add(1)), Method: method, Target: path, Host: callerHost, Key: callerKey, Patience: 2 * time.Second,
 	}
 	if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/once/") {
 		c.Patience, c.Prompt = 10*time.Second, &gateway.Prompt{Tokens: 5000, MaxAnswer: 300}
@@ -192,6 +193,14 @@
 	return result{Answer: a, id: c.ID, body: string(text), whole: err == nil}
 }
 
+// occupy begins short requests that last for longer than any other request waits, so that every engine writes answers.
+func (s *site) occupy() {
+	for range 20 {
+		go s.call(http.MethodPost, "/draft/busy", nil)
+	}
+	time.Sleep(100 * time.Millisecond)
+}
+
 // behave sets the behavior of the backend servers of a service in their order.
 func (s *site) behave(service string, behaviors ...direct.Behavior) {
 	for _, b := range s.backends {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -261,7 +261,7 @@
 		q.finish()
 		panic(http.ErrAbortHandler)
 	}
-	q.g.protocol.Fail(q.w, &q.call, MayHaveRun{Expired: !q.g.clock.Now().Before(q.deadline)})
+	q.g.protocol.Fail(q.w, &q.call, MayHaveRun{Expired: q.deadline.Sub(q.g.clock.Now()) < leastRemaining})
 }
 
 // giveUp ends a request that cannot be sent again.
