--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -59,8 +59,8 @@
 // page explains.
 func TestPagesNameWhatTheSourceShows(t *testing.T) {
 	for name, c := range map[string]struct{ pattern, page string }{
-		"metrics":      {`metrics\.(?:Add|AddFloat|Set)\("([^"]+)"`, "metrics.md"},
-		"log messages": {`\blog(?:\.V\(\d\))?\.(?:Info|Error)\((?:err, |nil, )?"([^"]+)"`, "logs.md"},
+		"metrics":      {`metrics\.(?:Add|AddFloat|Set|count)\("([^"]+)"`, "metrics.md"},
+		"log messages": {`\blog(?:\.V\(\d\))?\.(?:Info|Error)\((?:(?:f\.Err|err|nil), )?"([^"]+)"`, "logs.md"},
 		"reasons":      {`Reason[A-Z]\w* +Reason = "([a-z-]+)"`, "api.md"},
 		"fields":       {`yaml:"([a-z0-9-]{2,})"`, "configuration.md"},
 		"settings":     {`\bs\.\w+\(&[\w.]+, (?:\[\]string\{[^}]*\}, )?"([a-z-]+)"`, "configuration.md"},
