--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -272,15 +272,6 @@
 // directory gives the workspace slice the declarations in force.
 type directory struct{ book *site.Book }
 
-func (d directory) WorkspaceByKey(digest [32]byte) (string, bool) {
-	s := d.book.Current()
-	if s == nil {
-		return "", false
-	}
-	w, ok := s.Workspace(digest)
-	return w.Name, ok
-}
-
 func (d directory) WorkspaceLimit(name string) (workspace.Limit, bool) {
 	s := d.book.Current()
 	if s == nil {
--- a/internal/fleet/replay/replay_test.go
+++ b/internal/fleet/hit_share_test.go
@@ -1,4 +1,4 @@
-package replay
+package fleet_test
 
 import (
 	"testing"
--- a/internal/fleet/replay/replay.go
+++ b/internal/fleet/replay_model_test.go
@@ -1,7 +1,7 @@
-// Package replay compares routing policies on the same arrivals. Entries with views from package fleet send
+// This file compares routing policies on the same arrivals. Entries with views from package fleet send
 // prompts to simulated engines with bounded prefix caches, in virtual time and from one seed. It measures the
 // share of prompt tokens found in caches and how long requests wait.
-package replay
+package fleet_test
 
 import (
 	"cmp"
--- a/internal/workspace/limiter.go
+++ b/internal/workspace/limiter.go
@@ -1,10 +1,9 @@
-// Package workspace authenticates caller keys and limits the token rate of each workspace at one entry. Rates
+// Package workspace limits the token rate of each workspace at one entry. Rates
 // and bursts are declared for the whole site; every entry grants its share without talking to the others. A Limiter
 // holds the token buckets, is owned by one task and reads no clock.
 package workspace
 
 import (
-	"crypto/sha256"
 	"math"
 	"time"
 
@@ -21,10 +20,8 @@
 	Burst int64
 }
 
-// Directory looks up what operators declared. Its methods must be cheap, because they run for each request.
+// Directory looks up what operators declared. Its method must be cheap, because it runs for each request.
 type Directory interface {
-	// WorkspaceByKey returns the workspace whose caller key has this SHA-256 digest.
-	WorkspaceByKey(digest [sha256.Size]byte) (workspace string, ok bool)
 	// WorkspaceLimit returns the declared limit of a workspace.
 	WorkspaceLimit(workspace string) (Limit, bool)
 }
@@ -116,12 +113,6 @@
 	return &Limiter{directory: directory, entries: max(entries, 1), buckets: buckets}
 }
 
-// Authenticate returns the workspace of a caller key. The key itself is neither kept nor compared; the
-// look-up by digest leaks no usable timing about the key.
-func (l *Limiter) Authenticate(key string) (workspace string, ok bool) {
-	return l.directory.WorkspaceByKey(sha256.Sum256([]byte(key)))
-}
-
 // Active returns the number of workspaces with state.
 func (l *Limiter) Active() int { return l.buckets.Len() }
 
--- a/internal/workspace/limiter_test.go
+++ b/internal/workspace/limiter_test.go
@@ -1,7 +1,6 @@
 package workspace
 
 import (
-	"crypto/sha256"
 	"fmt"
 	"slices"
 	"testing"
@@ -15,13 +14,9 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-// declared gives every workspace the same limit and knows one key.
+// declared gives every workspace the same limit.
 type declared Limit
 
-func (d declared) WorkspaceByKey(digest [sha256.Size]byte) (string, bool) {
-	return "cuenca", digest == sha256.Sum256([]byte("secret"))
-}
-
 func (d declared) WorkspaceLimit(name string) (Limit, bool) { return Limit(d), name != "" }
 
 // Guards against wrong waits, and against tokens that are taken from a request that is told it was denied.
@@ -59,17 +54,6 @@
 	}
 }
 
-// Guards against keys that open another workspace.
-func TestAuthenticate(t *testing.T) {
-	tests := map[string]struct{ ok bool }{"secret": {true}, "Secret": {false}, "": {false}}
-	for key, tt := range tests {
-		t.Run(key, func(t *testing.T) {
-			_, ok := NewLimiter(declared{}, 1).Authenticate(key)
-			assert.Equal(t, ok, tt.ok)
-		})
-	}
-}
-
 // Guards against grants beyond rate x time + burst over all entries, also when buckets are dropped or evicted.
 func TestSiteLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/site/load_test.go
+++ b/pkg/site/load_test.go
@@ -50,8 +50,10 @@
 			byName, ok := accepted.Snapshot.WorkspaceNamed("training")
 			assert.Assert(t, ok)
 			assert.DeepEqual(t, byName, byKey)
-			_, ok = accepted.Snapshot.Workspace(DigestKey("another"))
-			assert.Assert(t, !ok)
+			for _, wrong := range []string{"another", "", strings.ToUpper(name + "-training-key")} {
+				_, ok = accepted.Snapshot.Workspace(DigestKey(wrong))
+				assert.Assert(t, !ok, wrong)
+			}
 		})
 	}
 }
