gateway, platform: a start reads the entries of backend servers cheaply

Ruled out: the watch (it was not reached); the time of the processes (they run within 0.4 s). Change: at a start the entries come from cheap reads that may be seconds old, and the watch goes on from the oldest page; the table and the zones taken out stay linearizable, so they prove themselves. Pauses after failed calls are spread. A lost history is read linearizably.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,7 +16,7 @@
 	watchWaitSmall = 900 * time.Millisecond
 	smallGroup     = 4
 	// recoveryWait is the wait of the first watch after a failure, so that it proves the table soon.
-	recoveryWait = 200 * time.Millisecond
+	recoveryWait = 50 * time.Millisecond
 	// gatherPause is the pause after a watch that told of changes. Changes come in groups, each call is priced for each
 	// gateway, and what they tell may take seconds to be in force.
 	gatherPause = 250 * time.Millisecond
@@ -36,6 +36,7 @@
 	var revision int64
 	var failedSince time.Time
 	pause := retryFirst
+	cheap := true
 	for ctx.Err() == nil {
 		sent := g.boot.Now()
 		whole := revision == 0
@@ -43,7 +44,7 @@
 		var next int64
 		var err error
 		if whole {
-			facts, next, err = g.store.Read(ctx)
+			facts, next, err = g.store.Read(ctx, cheap)
 		} else {
 			facts, next, err = g.store.Watch(ctx, revision, g.watchWait(!failedSince.IsZero()))
 		}
@@ -54,14 +55,14 @@
 			g.metrics.count("store-errors")
 			if g.store.Compacted(err) {
 				g.log.Info("history of the store is gone; reading everything", "revision", revision)
-				revision = 0
+				revision, cheap = 0, false
 				continue
 			}
 			if failedSince.IsZero() {
 				failedSince = sent
 				g.log.Info("store lost", "error", err.Error(), "revision", revision)
 			}
-			if !g.sleep(pause) {
+			if !g.sleep(g.jitter(pause)) {
 				return nil
 			}
 			pause = min(2*pause, retryMost)
@@ -80,27 +81,34 @@
 		pause = retryFirst
 		if !g.apply(sent, facts, whole) {
 			// The newest table could not be read, so nothing proves the present one; everything is read again.
-			revision = 0
+			revision, cheap = 0, false
 			if !g.sleep(retryMost) {
 				return nil
 			}
 			continue
 		}
 		revision = next
-		if len(facts) > 0 && !g.sleep(gatherPause) {
+		if len(facts) > 0 && !whole && !g.sleep(gatherPause) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// jitter spreads pauses over half to one and a half of their length, so that gateways do not call together.
+func (g *Gateway) jitter(d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d/2 + time.Duration(g.random.Int64N(int64(d)))
+}
+
 // watchWait returns how long the next watch waits.
 func (g *Gateway) watchWait(recovering bool) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if recovering {
 		return recoveryWait
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.group.Size() <= smallGroup {
 		return watchWaitSmall
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -85,12 +85,18 @@
 
 // withSite runs fn with a gateway, two backend servers of each service, a store and a client, all in memory.
 func withSite(t *testing.T, fn func(*site), options ...gateway.Option) {
+	withPreparedSite(t, func(*site) {}, fn, options...)
+}
+
+// withPreparedSite is withSite with a function that changes the store before the gateway starts.
+func withPreparedSite(t *testing.T, prepare, fn func(*site), options ...gateway.Option) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{t: t, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, listeners: map[netip.AddrPort]*standin.Memory{}}
 		s.publish(map[string]string{callerKey: workspace}, testRoutes)
 		for i, service := range []string{"desk", "desk", "pool", "pool"} {
 			s.addBackend(service, i+1)
 		}
+		prepare(s)
 		storeListener := s.listen(storeAddress, s.store)
 		callers, ready := standin.NewMemory(callerAddress), standin.NewMemory(readyAddress)
 		s.client, s.ready = callers.Client(), ready.Client()
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -70,8 +70,9 @@
 
 // Store is what a gateway reads its facts from. Its methods block until the answer or an error.
 type Store interface {
-	// Read returns all facts and the revision from which to watch.
-	Read(ctx context.Context) ([]Fact, int64, error)
+	// Read returns all facts and the revision from which to watch. With cheap set those about backend servers may be seconds
+	// old, which the first watch makes up for; many gateways that start together would otherwise exceed the store's rate.
+	Read(ctx context.Context, cheap bool) ([]Fact, int64, error)
 	// Watch returns the facts that changed after a revision, at the latest after wait, and the revision to go on from.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]Fact, int64, error)
 	// Compacted says whether an error of Watch means that its history is gone and Read is needed.
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -303,3 +303,22 @@
 		assert.Equal(t, s.gateway.Ready(), true)
 	})
 }
+
+// Guards against a start that believes entries which were old when it read them: a backend server that left, one that came,
+// and a key that was withdrawn.
+func TestStartFromOldEntries(t *testing.T) {
+	withPreparedSite(t, func(s *site) {
+		s.store.Delete(platform.ServerKey("i-1"))
+		s.publish(map[string]string{"new-key": workspace}, testRoutes)
+		s.addBackend("desk", 9)
+		s.store.SetLag(4)
+	}, func(s *site) {
+		assert.Equal(t, s.call(http.MethodGet, "/look/a", nil).Status, 401)
+		for range 30 {
+			got := s.call(http.MethodPost, "/book/a", func(c *gateway.Call) { c.Key = "new-key" })
+			assert.Equal(t, got.Status, 200)
+		}
+		assert.Equal(t, s.backends[0].Arrivals(), 0)
+		assert.Assert(t, s.backends[4].Arrivals() > 0)
+	})
+}
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -49,9 +49,11 @@
 	history   []platform.Item
 	revision  int64
 	compacted int64
-	outage    Outage
-	changed   chan struct{}
-	calls     int
+	// lag is by how many changes cheap reads are behind.
+	lag     int64
+	outage  Outage
+	changed chan struct{}
+	calls   int
 }
 
 // NewStore returns an empty store.
@@ -81,6 +83,29 @@
 	s.wake()
 }
 
+// SetLag sets by how many changes cheap reads are behind, as far as the history goes back.
+func (s *Store) SetLag(changes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = changes
+}
+
+// asOf returns the items at a revision. The caller holds the lock.
+func (s *Store) asOf(revision int64) map[string]platform.Item {
+	items := map[string]platform.Item{}
+	for _, it := range s.history {
+		if it.Revision > revision {
+			break
+		}
+		if it.Deleted {
+			delete(items, it.Key)
+		} else {
+			items[it.Key] = it
+		}
+	}
+	return items
+}
+
 // Compact drops the history, so that watches from before end.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -152,12 +177,16 @@
 func (s *Store) answerRange(w http.ResponseWriter, c platform.RangeCall) {
 	s.mu.Lock()
 	var items []platform.Item
-	for key, it := range s.items {
+	all, revision := s.items, s.revision
+	if c.Cheap && s.lag > 0 && s.compacted == 0 {
+		revision -= s.lag
+		all = s.asOf(revision)
+	}
+	for key, it := range all {
 		if strings.HasPrefix(key, c.Prefix) && key > c.After {
 			items = append(items, it)
 		}
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
 	more := len(items) > pageItems
