dispatch, gateway: repeats are pooled among gateways and taken once; resumed streams are not held

Ruled out: the change of the configuration beside it (the log names retry-budget); a failed backend server (it drained). Change: gateways tell their requests and repeats by service, and each may use up to three quarters of its even part while all use less than 0.6 of the whole; a repeat is taken when an attempt is placed; a caller that has part of an answer is not held.

--- /dev/null
+++ b/internal/dispatch/allowance.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Of its even part of what all gateways together may repeat, a gateway uses localShare whatever the others do, and up to
+	// evenShare while all of them use less than pooledShare of the whole: a failed backend server often breaks the streams of
+	// one gateway only. What is told of others is up to some 300 ms old; evenShare bounds the sum in any case.
+	localShare  = 0.3
+	evenShare   = 0.75
+	pooledShare = 0.6
+	// usageSlots divide the window in which requests and repeats are counted.
+	usageSlots = 10
+)
+
+// Usage is how many requests for a service one gateway got, and how many sends beyond the first it made, in the window.
+type Usage struct {
+	Service  Key
+	Requests int
+	Repeats  int
+}
+
+// ServiceKey returns the key of a service among gateways.
+func ServiceKey(name string) Key { return Key(xxhash.Sum64String(name) >> 32) }
+
+// AllowanceLimits bound the sends beyond the first of each request that all gateways make for a service: a share of the
+// requests in the window, and a reserve.
+type AllowanceLimits struct {
+	Share, Reserve float64
+	Window         time.Duration
+}
+
+// Allowance counts the requests and repeats of one gateway by service, adds what others tell, and says whether one more
+// repeat stays within the limits. It must be used by one goroutine at a time.
+type Allowance struct {
+	limits   AllowanceLimits
+	gateways int
+	own      map[Key]*usageWindow
+	peers    map[string]usageReport
+}
+
+type usageReport struct {
+	at    time.Time
+	usage map[Key]Usage
+}
+
+// usageWindow is a ring of counts.
+type usageWindow struct {
+	slots [usageSlots]struct{ requests, repeats int }
+	slot  int64
+}
+
+// NewAllowance returns an allowance for one gateway alone.
+func NewAllowance(limits AllowanceLimits) *Allowance {
+	return &Allowance{limits: limits, gateways: 1, own: map[Key]*usageWindow{}, peers: map[string]usageReport{}}
+}
+
+// SetGateways tells how many gateways there are, this one included.
+func (a *Allowance) SetGateways(n int) { a.gateways = max(n, 1) }
+
+// Heard takes what another gateway told, in place of what it told before.
+func (a *Allowance) Heard(now time.Time, gateway string, list []Usage) {
+	r := usageReport{at: now, usage: make(map[Key]Usage, len(list))}
+	for _, u := range list {
+		r.usage[u.Service] = u
+	}
+	a.peers[gateway] = r
+}
+
+// window returns the counts of a service with the slots that have passed emptied.
+func (a *Allowance) window(now time.Time, service Key) *usageWindow {
+	w := a.own[service]
+	if w == nil {
+		w = &usageWindow{}
+		a.own[service] = w
+	}
+	slot := now.UnixNano() / max(int64(a.limits.Window/usageSlots), 1)
+	for passed := min(slot-w.slot, usageSlots); passed > 0; passed-- {
+		w.slots[(slot-passed+1)%usageSlots] = struct{ requests, repeats int }{}
+	}
+	w.slot = max(w.slot, slot)
+	return w
+}
+
+func (w *usageWindow) sum() (requests, repeats int) {
+	for _, s := range w.slots {
+		requests += s.requests
+		repeats += s.repeats
+	}
+	return requests, repeats
+}
+
+// Request counts a request for a service.
+func (a *Allowance) Request(now time.Time, service Key) {
+	w := a.window(now, service)
+	w.slots[w.slot%usageSlots].requests++
+}
+
+// Allows says whether one more repeat stays within the limits.
+func (a *Allowance) Allows(now time.Time, service Key) bool {
+	requests, own := a.window(now, service).sum()
+	repeats := own
+	for _, r := range a.peers {
+		if now.Sub(r.at) <= peerLife {
+			requests += r.usage[service].Requests
+			repeats += r.usage[service].Repeats
+		}
+	}
+	whole := a.limits.Share*float64(requests) + a.limits.Reserve
+	even := whole / float64(a.gateways)
+	if float64(own+1) <= localShare*even {
+		return true
+	}
+	return float64(own+1) <= evenShare*even && float64(repeats+1) <= pooledShare*whole
+}
+
+// Repeat counts a repeat if it is allowed, and returns whether it is.
+func (a *Allowance) Repeat(now time.Time, service Key) bool {
+	if !a.Allows(now, service) {
+		return false
+	}
+	w := a.window(now, service)
+	w.slots[w.slot%usageSlots].repeats++
+	return true
+}
+
+// Usages returns what this gateway counted in the window, to be told to others.
+func (a *Allowance) Usages(now time.Time) []Usage {
+	var list []Usage
+	for service := range a.own {
+		if requests, repeats := a.window(now, service).sum(); requests+repeats > 0 {
+			list = append(list, Usage{Service: service, Requests: requests, Repeats: repeats})
+		}
+	}
+	return list
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,7 +22,8 @@
 	Prompt, Answer int64
 	// Target is the time to the first event, or to the whole answer of a plain service.
 	Target time.Duration
-	// Due is when the first event would be late, Latest when it would be too late for its caller.
+	// Due is when the first event would be late, Latest when it would be too late for its caller. A request without them is
+	// never held.
 	Due, Latest time.Time
 	// ColdPerSecond bounds the requests to one cold backend server from all gateways; zero means no bound.
 	ColdPerSecond float64
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -258,7 +258,7 @@
 		return p.noMemory(now, w, needs, engines)
 	}
 	part := read / time.Duration(len(chosen))
-	if heavy && meanUnread(views) > heavyUnread {
+	if heavy && !w.Due.IsZero() && meanUnread(views) > heavyUnread {
 		// The engines' time is worth more to shorter prompts.
 		if now.Add(expected + holdMargin).Before(w.Latest) {
 			return Hold{For: holdStep, Expected: expected}
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -16,46 +16,19 @@
 	retryReserve = 10
 )
 
-// RetryBudget bounds retries to a share of recent requests. Each request adds that share of a token, each
-// retry takes one. Tokens above the reserve decay with the time constant retryMemory; below it they refill within
-// that time. The zero value has the default share and reserve; it is owned by one goroutine at a time.
+// RetryBudget bounds retries to a share of recent requests. Each request adds retryShare of a token, each
+// retry takes one. Tokens above retryReserve decay with the time constant retryMemory; below it they refill within
+// that time. The zero value is ready to use; it is owned by one goroutine at a time.
 type RetryBudget struct {
 	tokens  float64
 	updated time.Time
 	begun   bool
-	// limits are nil for the defaults.
-	limits *budgetLimits
-}
-
-type budgetLimits struct{ share, reserve float64 }
-
-// SetLimits replaces the share of recent requests that may be retried and the reserve of retries beyond it.
-func (b *RetryBudget) SetLimits(share, reserve float64) { b.limits = &budgetLimits{share, reserve} }
-
-func (b *RetryBudget) share() float64 {
-	if b.limits == nil {
-		return retryShare
-	}
-	return b.limits.share
-}
-
-func (b *RetryBudget) reserve() float64 {
-	if b.limits == nil {
-		return retryReserve
-	}
-	return b.limits.reserve
 }
 
 // Request records a first attempt.
 func (b *RetryBudget) Request(now time.Time) {
 	b.age(now)
-	b.tokens += b.share()
-}
-
-// Allows reports whether there is a token, without taking it.
-func (b *RetryBudget) Allows(now time.Time) bool {
-	b.age(now)
-	return b.tokens >= 1
+	b.tokens += retryShare
 }
 
 // Retry takes a token and reports whether there was one.
@@ -70,7 +43,7 @@
 
 func (b *RetryBudget) age(now time.Time) {
 	if !b.begun {
-		b.begun, b.tokens, b.updated = true, b.reserve(), now
+		b.begun, b.tokens, b.updated = true, retryReserve, now
 		return
 	}
 	elapsed := now.Sub(b.updated)
@@ -78,10 +51,10 @@
 		return
 	}
 	ratio := float64(elapsed) / float64(retryMemory)
-	if reserve := b.reserve(); b.tokens > reserve {
-		b.tokens = reserve + (b.tokens-reserve)*math.Exp(-ratio)
+	if b.tokens > retryReserve {
+		b.tokens = retryReserve + (b.tokens-retryReserve)*math.Exp(-ratio)
 	} else {
-		b.tokens = math.Min(reserve, b.tokens+reserve*ratio)
+		b.tokens = math.Min(retryReserve, b.tokens+retryReserve*ratio)
 	}
 	b.updated = now
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,12 +88,16 @@
 	admitted, ok := admission.(route.Admitted)
 	standing := g.suspects.Check(now, q.print)
 	_, quarantined := standing.(suspect.Quarantined)
-	budgeted := q.sends == 0 || g.budget(q.service).Retry(now)
+	service := dispatch.ServiceKey(q.service)
+	budgeted := q.sends == 0 || g.repeats.Allows(now, service)
 	var placement dispatch.Placement = dispatch.Nowhere{}
 	var ticket dispatch.Ticket
 	if ok && !quarantined && budgeted {
-		placement = g.planner.Place(now, q.work, g.roster.InService(q.service), q.tried)
+		placement = g.planner.Place(now, q.workNow(), g.roster.InService(q.service), q.tried)
 		ticket = g.planner.Placed(now, q.work, placement)
+		if ticket != 0 && q.sends > 0 {
+			g.repeats.Repeat(now, service)
+		}
 	}
 	gateways, told := g.group.Size(), g.planner.OldestReport(now)
 	g.mu.Unlock()
@@ -141,6 +145,16 @@
 	return a, 0
 }
 
+// workNow describes the work of the next attempt. A caller that has part of an answer waits for the next event, so its
+// request is not held.
+func (q *request) workNow() dispatch.Work {
+	w := q.work
+	if q.delivered {
+		w.Due, w.Latest = time.Time{}, time.Time{}
+	}
+	return w
+}
+
 // expire ends a request whose time is over or whose caller has left.
 func (q *request) expire() {
 	if q.deadline.Sub(q.g.clock.Now()) < leastRemaining {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,6 @@
 
 	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/dispatch"
-	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/peering"
 	"berylward.example/berylward/internal/roster"
 	"berylward.example/berylward/internal/route"
@@ -45,9 +44,6 @@
 	proofMargin = 500 * time.Millisecond
 	// crashes is how many backend servers a request may crash before it is refused.
 	crashes = 3
-	// budgetShare is the part of the shared retry budget that gateways use. A budget that was saved up is spent beside the
-	// one that is earned in the same window, so half of it may come twice; the rest is for gateways that are not known yet.
-	budgetShare = 0.45
 )
 
 // Gateway is one gateway process.
@@ -77,7 +73,7 @@
 	roster   *roster.Roster
 	planner  *dispatch.Planner
 	group    *peering.Group
-	budgets  map[string]*fleet.RetryBudget
+	repeats  *dispatch.Allowance
 	suspects *suspect.Register
 	random   *rand.Rand
 	loaded   bool
@@ -120,7 +116,7 @@
 	g := &Gateway{
 		Settings: s, protocol: p, store: store, clock: clock.RealClock{}, boot: uptime.Clock{}, log: klog.Logger{},
 		metrics: newMetrics(nil), tracer: telemetry.NoTraces().Tracer(telemetry.TracerName), source: rand.NewPCG(seed, 2),
-		roster: roster.New(), budgets: map[string]*fleet.RetryBudget{}, suspects: suspect.New(incarnation, suspect.WithCrashes(crashes)),
+		roster: roster.New(), suspects: suspect.New(incarnation, suspect.WithCrashes(crashes)),
 	}
 	for _, o := range options {
 		o(g)
@@ -132,6 +128,7 @@
 	g.book = route.NewBook(keyAge)
 	g.random = rand.New(g.source)
 	g.planner = dispatch.NewPlanner(s.Zone, dispatch.WithSource(rand.NewPCG(seed, 3)))
+	g.repeats = dispatch.NewAllowance(dispatch.AllowanceLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow})
 	g.group = peering.NewGroup(s.Peering, s.Zone, s.Seeds)
 	g.incarnation = uint64(g.clock.Now().UnixNano())
 	if err := g.listen(); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,6 +58,8 @@
 	client   *http.Client
 	ready    *http.Client
 	version  int64
+	// reserve of repeats beyond a share of the requests.
+	reserve  float64
 	sequence atomic.Int64
 	// servers of the backend servers, to stop them.
 	servers   []*http.Server
@@ -74,6 +76,8 @@
 		MaxGap: 250 * time.Millisecond, MaxAttempts: 2, Resumable: true, Shares: []route.Share{{Service: "pool", Weight: 1}}},
 	{Name: "once", Host: callerHost, Prefix: "/once/", Kind: route.Stream, Timeout: 10 * time.Second, Target: 300 * time.Millisecond,
 		MaxAttempts: 2, Shares: []route.Share{{Service: "pool", Weight: 1}}},
+	{Name: "review", Host: callerHost, Prefix: "/review/", Kind: route.Stream, Timeout: 15 * time.Second, Target: 3 * time.Second,
+		MaxGap: time.Second, MaxAttempts: 2, Resumable: true, Shares: []route.Share{{Service: "pool", Weight: 1}}},
 	{Name: "public", Host: callerHost, Prefix: "/open/", Kind: route.Safe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
 		MaxAttempts: 2, Public: true, Shares: []route.Share{{Service: "desk", Weight: 1}}},
 }
@@ -91,7 +95,7 @@
 // withPreparedSite is withSite with a function that changes the store before the gateway starts.
 func withPreparedSite(t *testing.T, prepare, fn func(*site), options ...gateway.Option) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &site{t: t, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, listeners: map[netip.AddrPort]*standin.Memory{}}
+		s := &site{t: t, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, reserve: 100, listeners: map[netip.AddrPort]*standin.Memory{}}
 		s.publish(map[string]string{callerKey: workspace}, testRoutes)
 		for i, service := range []string{"desk", "desk", "pool", "pool"} {
 			s.addBackend(service, i+1)
@@ -103,7 +107,7 @@
 		store := platform.NewStore(storeAddress, s.boot, storeListener.DialContext)
 		g, err := gateway.Start(gateway.Settings{
 			Instance: "front-1", Zone: "el-centro", Callers: callerAddress, Readiness: readyAddress, StopWithin: 8 * time.Second,
-			RevokeWithin: 5 * time.Second, RetryShare: 0.2, RetryReserve: 100, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
+			RevokeWithin: 5 * time.Second, RetryShare: 0.2, RetryReserve: s.reserve, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
 		}, platform.Protocol{}, store, append([]gateway.Option{
 			gateway.WithBootClock(s.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(s.dial),
 		}, options...)...)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,6 +49,7 @@
 	news := g.group.Hear(now, from, s)
 	if _, ok := news.(peering.Fresh); ok {
 		g.planner.Heard(now, from.String(), s.Loads)
+		g.repeats.Heard(now, from.String(), s.Usages)
 		g.resize()
 		if len(s.Marks) > 0 {
 			if marks, err := suspect.DecodeMarks(s.Marks); err == nil {
@@ -68,9 +69,7 @@
 func (g *Gateway) resize() {
 	n := g.group.Size()
 	g.planner.SetGateways(n)
-	for _, b := range g.budgets {
-		b.SetLimits(g.RetryShare*budgetShare, g.RetryReserve*budgetShare/float64(n))
-	}
+	g.repeats.SetGateways(n)
 }
 
 // tell is the task that sends this gateway's state to the others.
@@ -111,6 +110,7 @@
 	sequence, members := g.group.Next()
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.stopping.Load() != 0, Members: members, Loads: loads,
+		Usages: g.repeats.Usages(now),
 	}
 	if marks := g.suspects.Marks(now); len(marks) > 0 {
 		encoded, err := suspect.EncodeMarks(marks[max(0, len(marks)-markLimit):])
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -322,3 +322,26 @@
 		assert.Assert(t, s.backends[4].Arrivals() > 0)
 	})
 }
+
+// Guards against a held request that takes a repeat from the retry limits at each look for a free engine.
+func TestHeldRepeat(t *testing.T) {
+	withPreparedSite(t, func(s *site) { s.reserve = 20 }, func(s *site) {
+		for _, b := range s.backends[2:] {
+			b.Step = time.Second
+		}
+		for range 2 {
+			go s.call(http.MethodPost, "/draft/busy", nil)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, b := range s.backends[2:] {
+			if len(b.Runs()) == 0 {
+				b.Behave(direct.Refuses{})
+			}
+		}
+		got := s.call(http.MethodPost, "/review/a", func(c *gateway.Call) {
+			c.Patience, c.Prompt = 15*time.Second, &gateway.Prompt{Tokens: 60000, MaxAnswer: 300}
+		})
+		assert.Equal(t, got.Status, 200)
+		assert.Assert(t, got.whole)
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,7 +11,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"berylward.example/berylward/internal/dispatch"
-	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/roster"
 	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/internal/suspect"
@@ -186,7 +185,7 @@
 		}
 	}
 	q.print = suspect.Of(q.admitted.Workspace, q.call.Method+" "+q.call.Target, suspect.Digest(q.body))
-	g.budget(q.service).Request(g.clock.Now())
+	g.repeats.Request(g.clock.Now(), dispatch.ServiceKey(q.service))
 }
 
 // latest returns when the first event would come too late: callers give up after the longest of some pauses.
@@ -225,17 +224,6 @@
 	return max(s.Weight, 0)
 }
 
-// budget returns the retry budget of a service. The caller holds the lock.
-func (g *Gateway) budget(service string) *fleet.RetryBudget {
-	b := g.budgets[service]
-	if b == nil {
-		b = &fleet.RetryBudget{}
-		b.SetLimits(g.RetryShare*budgetShare, g.RetryReserve*budgetShare/float64(g.group.Size()))
-		g.budgets[service] = b
-	}
-	return b
-}
-
 func (q *request) elapsed() time.Duration { return q.g.clock.Since(q.arrived) }
 
 // reject ends the request with an answer that it is wrong.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,7 +68,7 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if a.last || g.planner.Moving(now, a.ticket) || !g.budget(q.service).Allows(now) {
+		if a.last || g.planner.Moving(now, a.ticket) || !g.repeats.Allows(now, dispatch.ServiceKey(q.service)) {
 			return min(extendStep, remaining)
 		}
 		return 0
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -35,12 +35,14 @@
 const (
 	// maxLoads keeps a datagram below the size at which networks fragment it, about 1,400 bytes.
 	maxLoads = 48
+	// maxUsages bounds the services that a datagram tells of.
+	maxUsages = 16
 	// maxCount and maxMilliseconds bound the numbers of a received load.
 	maxCount        = 1 << 20
 	maxMilliseconds = 3600 * 1000
 )
 
-// stateMessage and loadMessage are arrays on the wire, because gateways exchange many and bytes between zones are dear.
+// stateMessage and its parts are arrays on the wire, because gateways exchange many and bytes between zones are dear.
 type stateMessage struct {
 	_           struct{} `cbor:",toarray"`
 	Incarnation uint64
@@ -49,9 +51,17 @@
 	Stopping    bool
 	Members     []netip.AddrPort
 	Loads       []loadMessage
+	Usages      []usageMessage
 	Marks       []byte
 }
 
+type usageMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Service  uint32
+	Requests uint32
+	Repeats  uint32
+}
+
 type loadMessage struct {
 	_        struct{} `cbor:",toarray"`
 	Key      uint32
@@ -84,6 +94,9 @@
 			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.Avoid.Milliseconds()),
 		})
 	}
+	for _, u := range s.Usages[:min(len(s.Usages), maxUsages)] {
+		m.Usages = append(m.Usages, usageMessage{Service: uint32(u.Service), Requests: uint32(u.Requests), Repeats: uint32(u.Repeats)})
+	}
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
@@ -112,5 +125,11 @@
 			Avoid: time.Duration(l.AvoidMS) * time.Millisecond,
 		})
 	}
+	for _, u := range m.Usages {
+		if u.Requests > maxCount || u.Repeats > maxCount {
+			return State{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
+		}
+		s.Usages = append(s.Usages, dispatch.Usage{Service: dispatch.Key(u.Service), Requests: int(u.Requests), Repeats: int(u.Repeats)})
+	}
 	return s, nil
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -42,6 +42,8 @@
 	// Members are some of the other gateways that the sender knows.
 	Members []netip.AddrPort
 	Loads   []dispatch.Load
+	// Usages are the requests and repeats by service in the window of the retry limits.
+	Usages []dispatch.Usage
 	// Marks are requests that ran when backend servers failed, in the encoding of package suspect.
 	Marks []byte
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -88,7 +88,8 @@
 func TestMessages(t *testing.T) {
 	state := peering.State{
 		Incarnation: 7, Sequence: 9, Zone: "el-centro", Stopping: true, Members: []netip.AddrPort{seed}, Marks: []byte{1},
-		Loads: []dispatch.Load{{Key: 3, Short: 2, Long: 1, Unread: 250 * time.Millisecond, Memory: 9000, Avoid: time.Second}},
+		Loads:  []dispatch.Load{{Key: 3, Short: 2, Long: 1, Unread: 250 * time.Millisecond, Memory: 9000, Avoid: time.Second}},
+		Usages: []dispatch.Usage{{Service: 8, Requests: 90, Repeats: 4}},
 	}
 	data, err := peering.Encode(state)
 	assert.NilError(t, err)
