--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -395,3 +395,20 @@
 		})
 	}
 }
+
+// Guards against a heavy prompt that is kept until its caller has no time left to come back.
+func TestHeavyRefusedInTime(t *testing.T) {
+	p, list := planner(1), servers(20)
+	var loads []dispatch.Load
+	for _, s := range list {
+		loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Short: 3})
+	}
+	held := time.Duration(0)
+	for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
+		p.Heard(start.Add(at), "other", loads)
+		if _, ok := p.Place(start.Add(at), long(450000), list, nil).(dispatch.Hold); ok {
+			held = at
+		}
+	}
+	assert.Assert(t, held > 3*time.Second && held < 4*time.Second, "held for %v of 12 s", held)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,6 +36,8 @@
 	// outstanding reading is at most heavyUnread. Reading grows with the square of a prompt's length and its value does not.
 	heavyTargets = 2
 	heavyUnread  = 50 * time.Millisecond
+	// heavyHold is how long such a prompt waits before it is refused, early enough for its caller to come back.
+	heavyHold = 4 * time.Second
 	// queuedStep is the cost of each request beyond an engine's slots.
 	queuedStep = 150 * time.Millisecond
 	// peerLife is how long the loads told by another gateway count.
@@ -92,7 +94,7 @@
 	// retryNoServer is when a caller may come back to a service without backend servers.
 	retryNoServer = 500 * time.Millisecond
 	// retryLarge is when memory for a prompt beyond one engine's may be free.
-	retryLarge = 2 * time.Second
+	retryLarge = 3500 * time.Millisecond
 	// retryCold and retryTried are when a cold or refusing backend server may take a request.
 	retryCold  = 300 * time.Millisecond
 	retryTried = 200 * time.Millisecond
@@ -260,7 +262,7 @@
 	part := read / time.Duration(len(chosen))
 	if heavy && !w.Due.IsZero() && meanUnread(views) > heavyUnread {
 		// The engines' time is worth more to shorter prompts.
-		if now.Add(expected + holdMargin).Before(w.Latest) {
+		if now.Add(expected+holdMargin).Before(w.Latest) && now.Before(w.Due.Add(heavyHold-w.Target)) {
 			return Hold{For: holdStep, Expected: expected}
 		}
 		return Nowhere{Reason: Overloaded, RetryAfter: retryLarge}
@@ -296,7 +298,7 @@
 	if float64(needs) > most {
 		return Nowhere{Reason: TooLarge, RetryAfter: retryLarge}
 	}
-	if now.Add(holdMargin).Before(w.Latest) {
+	if now.Add(holdMargin).Before(w.Latest) && now.Before(w.Due.Add(heavyHold-w.Target)) {
 		return Hold{For: holdStep}
 	}
 	return Nowhere{Reason: Overloaded, RetryAfter: retryLarge}
