gateway: one loop of attempts; command, soak: the clock is passed in

Cause: read-through. The loops of plain requests and streams were the same lines; the reload task and the soak's proxy used the wall clock directly; a gateway that the soak could not start again left no line. Change: request.attempts serves both; clocks are passed in; the failure goes to the process's log.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -59,7 +59,7 @@
 		run.serveAdmin(func() any { return g.Status() })
 		reload, stopReload := context.WithCancel(cmd.Context())
 		defer stopReload()
-		go reloadSettings(reload, file, g, run.logs.Logger("command"))
+		go reloadSettings(reload, clock.RealClock{}, file, g, run.logs.Logger("command"))
 		return supervise(g, max(settings.StopWithin, p.stopTimeout))
 	}
 	return cmd
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/platform"
@@ -17,13 +18,16 @@
 const settingsPoll = 3 * time.Second
 
 // reloadSettings puts changed settings into force on a hangup signal, or when the file changes.
-func reloadSettings(ctx context.Context, file string, g *gateway.Gateway, log klog.Logger) {
+func reloadSettings(ctx context.Context, c clock.WithTicker, file string, g *gateway.Gateway, log klog.Logger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	ticker := time.NewTicker(settingsPoll)
+	ticker := c.NewTicker(settingsPoll)
 	defer ticker.Stop()
-	last, _ := os.ReadFile(file)
+	last, err := os.ReadFile(file)
+	if err != nil {
+		log.Error(err, "settings not readable; the former ones hold", "file", file)
+	}
 	for {
 		signaled := false
 		select {
@@ -31,7 +35,7 @@
 			return
 		case <-signals:
 			signaled = true
-		case <-ticker.C:
+		case <-ticker.C():
 		}
 		data, err := os.ReadFile(file)
 		if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,30 @@
 	last     bool // no further send is allowed after this one
 }
 
+// attempts makes attempts until the caller has its answer or no further one is allowed.
+func (q *request) attempts(try func(*attempt) step) {
+	for {
+		a := q.place()
+		if a == nil {
+			return
+		}
+		var why string
+		switch s := try(a).(type) {
+		case finished:
+			return
+		case hopeless:
+			q.fail(s.why)
+			return
+		case again:
+			why = s.why
+		}
+		if !q.mayRepeat() {
+			q.giveUp(why, comeBack)
+			return
+		}
+	}
+}
+
 // place decides where the next attempt goes and accounts for it, when need be after a hold. It returns nil when the
 // request has been answered.
 func (q *request) place() *attempt {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -19,28 +19,7 @@
 )
 
 // plain serves a request whose answer is sent when it is there as a whole.
-func (q *request) plain() {
-	for {
-		a := q.place()
-		if a == nil {
-			return
-		}
-		var why string
-		switch s := q.plainAttempt(a).(type) {
-		case finished:
-			return
-		case hopeless:
-			q.fail(s.why)
-			return
-		case again:
-			why = s.why
-		}
-		if !q.mayRepeat() {
-			q.giveUp(why, comeBack)
-			return
-		}
-	}
-}
+func (q *request) plain() { q.attempts(q.plainAttempt) }
 
 // plainWait returns how long an attempt may wait for its answer. A request that may run again does not wait for a
 // backend server that hangs.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,27 +33,10 @@
 	if q.call.Resumes {
 		events.ResumeAfter(q.call.ResumeAfter)
 	}
-	for {
-		a := q.place()
-		if a == nil {
-			return
-		}
-		var why string
-		switch s := q.streamAttempt(a, events).(type) {
-		case finished:
-			return
-		case hopeless:
-			q.fail(s.why)
-			return
-		case again:
-			why = s.why
-		}
-		if !q.mayRepeat() {
-			q.giveUp(why, comeBack)
-			return
-		}
+	q.attempts(func(a *attempt) step {
 		events.Restart()
-	}
+		return q.streamAttempt(a, events)
+	})
 }
 
 // extend returns the function that decides whether a silent attempt is waited for longer: while its backend server makes
@@ -194,7 +177,7 @@
 			return &backend.Error{Op: "read", Kind: backend.KindBroken, Err: errors.New("stream ended in an event")}
 		case err == io.EOF:
 			if !q.delivered {
-				q.commit(a, x)
+				q.commit(x)
 			}
 			return nil
 		case err != nil:
@@ -210,7 +193,7 @@
 		if !sent {
 			q.progress(a)
 			if !q.delivered {
-				q.commit(a, x)
+				q.commit(x)
 			}
 		}
 		sent = true
@@ -229,7 +212,7 @@
 }
 
 // commit sends the head of the answer.
-func (q *request) commit(_ *attempt, x *backend.Exchange) {
+func (q *request) commit(x *backend.Exchange) {
 	q.g.protocol.CopyHead(q.w.Header(), x.Response)
 	q.w.WriteHeader(x.Response.StatusCode)
 	q.delivered = true
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -63,8 +64,9 @@
 		closing := c.closing
 		c.mu.Unlock()
 		if !closing {
-			// A process that cannot be started again shows as a gateway that serves nothing.
-			_ = c.start()
+			if err := c.start(); err != nil {
+				_, _ = fmt.Fprintln(c.log, err)
+			}
 		}
 	})
 	return nil
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"k8s.io/utils/clock"
 )
 
 // Trouble is what a proxy does to the connections through it. It is a sealed interface: Sound, Delayed, Reset, Mute and
@@ -38,6 +40,7 @@
 
 // Proxy passes connections of one address on to another one and brings about trouble on them.
 type Proxy struct {
+	clock    clock.Clock
 	listener net.Listener
 	to       netip.AddrPort
 
@@ -49,12 +52,12 @@
 }
 
 // NewProxy listens on an address until Close.
-func NewProxy(from, to netip.AddrPort) (*Proxy, error) {
+func NewProxy(c clock.Clock, from, to netip.AddrPort) (*Proxy, error) {
 	listener, err := net.Listen("tcp", from.String())
 	if err != nil {
 		return nil, &Error{Op: "proxy", Kind: KindListen, Err: err}
 	}
-	p := &Proxy{listener: listener, to: to, trouble: Sound{}, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &Proxy{clock: c, listener: listener, to: to, trouble: Sound{}, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	p.done.Go(p.accept)
 	return p, nil
 }
@@ -166,7 +169,7 @@
 	for {
 		t, changed := p.state()
 		if d, ok := t.(Delayed); ok {
-			time.Sleep(d.By)
+			<-p.clock.After(d.By)
 			return
 		}
 		if !held(t) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -160,7 +160,7 @@
 	}
 	proxy := w.address()
 	var err error
-	if w.storeBy, err = NewProxy(proxy, storeAddress); err != nil {
+	if w.storeBy, err = NewProxy(w.clock, proxy, storeAddress); err != nil {
 		return err
 	}
 	for i := range w.Engines + w.Desks {
@@ -189,7 +189,7 @@
 			return err
 		}
 		w.children = append(w.children, c)
-		front, err := NewProxy(w.address(), s.Callers)
+		front, err := NewProxy(w.clock, w.address(), s.Callers)
 		if err != nil {
 			return err
 		}
@@ -228,7 +228,7 @@
 	if err := w.serve(real, b); err != nil {
 		return err
 	}
-	p, err := NewProxy(public, real)
+	p, err := NewProxy(w.clock, public, real)
 	if err != nil {
 		return err
 	}
