backend: a request that is given up resets its connection

Ruled out: a late send (the deadline had passed 4.9 s before the arrival, and no attempt is begun after it). Change: an exchange that does not end with a whole answer closes its connection with a reset, which drops what waits in it.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -66,6 +66,16 @@
 	return n, err
 }
 
+// abort closes the connection with a reset, so that bytes which the peer has not received yet are lost. After a usual
+// close they would still arrive, however late.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that takes no option is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // NewPool returns an empty pool. dial may be nil for the network.
 func NewPool(c clock.PassiveClock, dial Dialer) *Pool {
 	if dial == nil {
@@ -250,10 +260,10 @@
 		c = opened
 	}
 	x := &Exchange{conn: c, pool: p}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stop = context.AfterFunc(ctx, c.abort)
 	if err := x.run(r, plan); err != nil {
 		x.stop()
-		_ = c.Close()
+		c.abort()
 		return nil, x.explain(ctx, "exchange", err)
 	}
 	return x, nil
@@ -368,7 +378,11 @@
 		x.pool.put(x.conn, keep)
 		return
 	}
-	_ = x.conn.Close()
+	if whole {
+		_ = x.conn.Close()
+		return
+	}
+	x.conn.abort()
 }
 
 // bodyWritten says whether the whole request has left. A connection on which an answer came earlier cannot be used
