peering, dispatch, gateway: usual names for receiving and sending state

Cause: read-through. Hear, tell and told name what the field calls receive, send and age; DEVELOPERS.md asks for the usual terms.

--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -62,8 +62,8 @@
 // SetGateways tells how many gateways there are, this one included.
 func (a *Allowance) SetGateways(n int) { a.gateways = max(n, 1) }
 
-// Heard takes what another gateway told, in place of what it told before.
-func (a *Allowance) Heard(now time.Time, gateway string, list []Usage) {
+// SetPeer takes what another gateway told, in place of what it told before.
+func (a *Allowance) SetPeer(now time.Time, gateway string, list []Usage) {
 	r := usageReport{at: now, usage: make(map[Key]Usage, len(list))}
 	for _, u := range list {
 		r.usage[u.Service] = u
--- a/internal/dispatch/allowance_test.go
+++ b/internal/dispatch/allowance_test.go
@@ -60,7 +60,7 @@
 					for g, a := range group {
 						for other, b := range group {
 							if other != g {
-								b.Heard(now, fmt.Sprint(g), a.Usages(now))
+								b.SetPeer(now, fmt.Sprint(g), a.Usages(now))
 							}
 						}
 					}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -215,8 +215,8 @@
 // SetGateways tells how many gateways there are, this one included. Limits on cold backend servers are shared evenly.
 func (p *Planner) SetGateways(n int) { p.gateways = max(n, 1) }
 
-// Heard takes the loads that another gateway told, in place of those it told before.
-func (p *Planner) Heard(now time.Time, gateway string, loads []Load) {
+// SetPeer takes the loads that another gateway told, in place of those it told before.
+func (p *Planner) SetPeer(now time.Time, gateway string, loads []Load) {
 	r := &report{at: now, loads: make(map[Key]Load, len(loads))}
 	for _, l := range loads {
 		r.loads[l.Key] = l
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -128,7 +128,7 @@
 			for _, s := range list {
 				loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Unread: tc.backlog})
 			}
-			p.Heard(tc.now, "other", loads)
+			p.SetPeer(tc.now, "other", loads)
 			_, held := p.Place(tc.now, long(154000), list, nil).(dispatch.Hold)
 			assert.Equal(t, held, tc.held)
 		})
@@ -146,7 +146,7 @@
 		}
 		loads = append(loads, l)
 	}
-	p.Heard(start, "other", loads)
+	p.SetPeer(start, "other", loads)
 	w := long(45000)
 	w.Target = 1500 * time.Millisecond
 	joint, ok := p.Place(start, w, list, nil).(dispatch.Joint)
@@ -253,7 +253,7 @@
 func TestPeersExpire(t *testing.T) {
 	p, list := planner(1), servers(2)
 	busy := dispatch.Load{Key: dispatch.KeyOf(list[0]), Long: 3, Unread: time.Second}
-	p.Heard(start, "other", []dispatch.Load{busy})
+	p.SetPeer(start, "other", []dispatch.Load{busy})
 	count := func(now time.Time) (n int) {
 		for range 20 {
 			if send, ok := p.Place(now, short(), list[:], nil).(dispatch.Send); ok && send.Server == list[0] {
@@ -335,7 +335,7 @@
 			for _, s := range list {
 				loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Memory: tc.used})
 			}
-			p.Heard(start, "other", loads)
+			p.SetPeer(start, "other", loads)
 			w := long(tc.tokens)
 			w.Latest = start.Add(time.Hour)
 			switch got := p.Place(start, w, list, nil).(type) {
@@ -379,7 +379,7 @@
 				l.Key = dispatch.KeyOf(s)
 				loads = append(loads, l)
 			}
-			p.Heard(tc.now, "other", loads)
+			p.SetPeer(tc.now, "other", loads)
 			got := ""
 			switch place := p.Place(tc.now, long(450000), list, nil).(type) {
 			case dispatch.Joint:
@@ -405,7 +405,7 @@
 	}
 	held := time.Duration(0)
 	for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
-		p.Heard(start.Add(at), "other", loads)
+		p.SetPeer(start.Add(at), "other", loads)
 		if _, ok := p.Place(start.Add(at), long(450000), list, nil).(dispatch.Hold); ok {
 			held = at
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,7 +123,7 @@
 			g.repeats.Repeat(now, service)
 		}
 	}
-	gateways, told := g.group.Size(), g.planner.OldestReport(now)
+	gateways, peerAge := g.group.Size(), g.planner.OldestReport(now)
 	g.mu.Unlock()
 	switch {
 	case !ok:
@@ -165,7 +165,7 @@
 	g.log.Info("sent", "request", q.call.ID, "backend", a.server.ID, "send", q.sends, "helpers", len(a.helpers),
 		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", admitted.Version,
 		"backend-revision", a.server.Revision, "short", a.seen.Short, "long", a.seen.Long, "unread-ms", a.seen.Unread.Milliseconds(),
-		"gateways", gateways, "told-ms", told.Milliseconds())
+		"gateways", gateways, "peer-age-ms", peerAge.Milliseconds())
 	return a, 0
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,8 +138,8 @@
 	g.serveCallers()
 	g.tomb.Go(g.follow)
 	if g.peers != nil {
-		g.tomb.Go(g.hear)
-		g.tomb.Go(g.tell)
+		g.tomb.Go(g.receivePeers)
+		g.tomb.Go(g.sendState)
 	}
 	return g, nil
 }
--- a/internal/gateway/logs_test.go
+++ b/internal/gateway/logs_test.go
@@ -97,7 +97,7 @@
 				}
 				for _, line := range lines {
 					if line["msg"] == "sent" {
-						for _, field := range []string{"backend", "table", "backend-revision", "remaining-ms", "told-ms", "unread-ms"} {
+						for _, field := range []string{"backend", "table", "backend-revision", "remaining-ms", "peer-age-ms", "unread-ms"} {
 							assert.Assert(t, line[field] != nil, "no %s", field)
 						}
 					}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,8 +17,8 @@
 	markLimit = 12
 )
 
-// hear is the task that takes datagrams from other gateways.
-func (g *Gateway) hear() error {
+// receivePeers is the task that takes datagrams from other gateways.
+func (g *Gateway) receivePeers() error {
 	buf := make([]byte, maxDatagram)
 	for {
 		n, from, err := g.peers.ReadFrom(buf)
@@ -38,18 +38,18 @@
 			g.log.Error(err, "datagram ignored", "from", from.String())
 			continue
 		}
-		g.heard(udp.AddrPort(), state)
+		g.receive(udp.AddrPort(), state)
 	}
 }
 
-func (g *Gateway) heard(from netip.AddrPort, s peering.State) {
+func (g *Gateway) receive(from netip.AddrPort, s peering.State) {
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	now := g.clock.Now()
 	g.mu.Lock()
-	news := g.group.Hear(now, from, s)
+	news := g.group.Receive(now, from, s)
 	if _, ok := news.(peering.Fresh); ok {
-		g.planner.Heard(now, from.String(), s.Loads)
-		g.repeats.Heard(now, from.String(), s.Usages)
+		g.planner.SetPeer(now, from.String(), s.Loads)
+		g.repeats.SetPeer(now, from.String(), s.Usages)
 		g.resize()
 		if len(s.Marks) > 0 {
 			if marks, err := suspect.DecodeMarks(s.Marks); err == nil {
@@ -72,8 +72,8 @@
 	g.repeats.SetGateways(n)
 }
 
-// tell is the task that sends this gateway's state to the others.
-func (g *Gateway) tell() error {
+// sendState is the task that sends this gateway's state to the others.
+func (g *Gateway) sendState() error {
 	interval := g.group.Interval()
 	for g.sleep(interval) {
 		now := g.clock.Now()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -49,12 +49,12 @@
 }
 
 type member struct {
-	heard                 time.Time
+	received              time.Time
 	incarnation, sequence uint64
 	stopping              bool
 	zone                  string
-	// told is when the state was sent to it last, and whether it changed since.
-	told    time.Time
+	// sent is when the state was sent to it last, and whether it changed since.
+	sent    time.Time
 	pending bool
 }
 
@@ -91,8 +91,8 @@
 func (Fresh) news() {}
 func (Stale) news() {}
 
-// Hear takes the state that a gateway sent.
-func (g *Group) Hear(now time.Time, from netip.AddrPort, s State) News {
+// Receive takes the state that a gateway sent.
+func (g *Group) Receive(now time.Time, from netip.AddrPort, s State) News {
 	if from == g.self {
 		return Stale{}
 	}
@@ -103,7 +103,7 @@
 	for _, other := range s.Members {
 		g.introduce(other)
 	}
-	joined := m == nil || m.heard.IsZero()
+	joined := m == nil || m.received.IsZero()
 	if m == nil {
 		if len(g.members) >= maxMembers {
 			return Stale{}
@@ -111,7 +111,7 @@
 		m = &member{}
 		g.members[from] = m
 	}
-	m.heard, m.incarnation, m.sequence, m.stopping, m.zone = now, s.Incarnation, s.Sequence, s.Stopping, s.Zone
+	m.received, m.incarnation, m.sequence, m.stopping, m.zone = now, s.Incarnation, s.Sequence, s.Stopping, s.Zone
 	return Fresh{Joined: joined}
 }
 
@@ -129,7 +129,7 @@
 func (g *Group) Expire(now time.Time) []netip.AddrPort {
 	var gone []netip.AddrPort
 	for address, m := range g.members {
-		if !m.heard.IsZero() && now.Sub(m.heard) > memberLife {
+		if !m.received.IsZero() && now.Sub(m.received) > memberLife {
 			delete(g.members, address)
 			gone = append(gone, address)
 		}
@@ -141,7 +141,7 @@
 func (g *Group) Size() int {
 	n := 1
 	for _, m := range g.members {
-		if !m.heard.IsZero() && !m.stopping {
+		if !m.received.IsZero() && !m.stopping {
 			n++
 		}
 	}
@@ -157,9 +157,9 @@
 	}
 	for address, m := range g.members {
 		m.pending = m.pending || changed
-		switch known := !m.heard.IsZero(); {
-		case known && now.Sub(m.told) >= g.gap(m):
-			m.told, m.pending = now, false
+		switch known := !m.received.IsZero(); {
+		case known && now.Sub(m.sent) >= g.gap(m):
+			m.sent, m.pending = now, false
 			to = append(to, address)
 		case !known && strangers:
 			// It is told once of this gateway; if it lives, it answers.
@@ -199,7 +199,7 @@
 	}
 	var known []netip.AddrPort
 	for address, m := range g.members {
-		if !m.heard.IsZero() {
+		if !m.received.IsZero() {
 			known = append(known, address)
 		}
 	}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -21,7 +21,7 @@
 )
 
 // Guards against old state that replaces newer, and a restarted gateway that is not heard.
-func TestHear(t *testing.T) {
+func TestReceive(t *testing.T) {
 	cases := map[string]struct {
 		from  netip.AddrPort
 		state peering.State
@@ -38,8 +38,8 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := peering.NewGroup(self, "z", []netip.AddrPort{seed})
-			assert.DeepEqual(t, g.Hear(start, other, peering.State{Incarnation: 5, Sequence: 7}), peering.Fresh{Joined: true})
-			_, fresh := g.Hear(start, tc.from, tc.state).(peering.Fresh)
+			assert.DeepEqual(t, g.Receive(start, other, peering.State{Incarnation: 5, Sequence: 7}), peering.Fresh{Joined: true})
+			_, fresh := g.Receive(start, tc.from, tc.state).(peering.Fresh)
 			assert.Equal(t, fresh, tc.fresh)
 		})
 	}
@@ -51,7 +51,7 @@
 	g := peering.NewGroup(self, "z", []netip.AddrPort{seed, self})
 	assert.Assert(t, slices.Equal(g.Due(start, false), []netip.AddrPort{seed}))
 	assert.Equal(t, len(g.Due(start.Add(10*time.Millisecond), true)), 0, "a silent seed is told once a second")
-	g.Hear(start, seed, peering.State{Incarnation: 1, Sequence: 1, Zone: "z", Members: []netip.AddrPort{other, self}})
+	g.Receive(start, seed, peering.State{Incarnation: 1, Sequence: 1, Zone: "z", Members: []netip.AddrPort{other, self}})
 	assert.Equal(t, g.Size(), 2)
 	now := start.Add(time.Second)
 	assert.Equal(t, len(g.Due(now, true)), 2, "a gateway that another one names is told")
@@ -59,7 +59,7 @@
 	assert.Equal(t, len(g.Due(now.Add(40*time.Millisecond), false)), 1, "a change that waits goes out")
 	assert.Equal(t, len(g.Due(now.Add(400*time.Millisecond), false)), 0)
 	assert.Equal(t, len(g.Due(now.Add(600*time.Millisecond), false)), 1, "an unchanged state goes out at times")
-	g.Hear(now, other, peering.State{Incarnation: 1, Sequence: 1, Stopping: true})
+	g.Receive(now, other, peering.State{Incarnation: 1, Sequence: 1, Stopping: true})
 	assert.Equal(t, g.Size(), 2)
 	assert.Equal(t, len(g.Expire(start.Add(3500*time.Millisecond))), 1)
 	assert.Equal(t, g.Size(), 1)
@@ -74,7 +74,7 @@
 			zone = "far"
 		}
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)
-		g.Hear(start, from, peering.State{Incarnation: 1, Sequence: 1, Zone: zone})
+		g.Receive(start, from, peering.State{Incarnation: 1, Sequence: 1, Zone: zone})
 	}
 	assert.Equal(t, len(g.Due(start, true)), 20)
 	sent := 0
