gateway, route: a line for refusals of a stop, the bound of leases, no unused code

Cause: read-through. A request that a stopping gateway refused left no line, so it could not be explained from its id; the platform's bound of leases was decoded and not used; Table.Services and a field of the gateway had no use. Change: the line 'request refused: stopping', leases of at most the bound, and the unused code is gone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,6 @@
 	metrics *metrics
 	tracer  trace.Tracer
 	pool    *backend.Pool
-	source  rand.Source
 
 	callers, readiness net.Listener
 	peers              net.PacketConn
@@ -115,7 +114,7 @@
 	seed := xxhash.Sum64(incarnation[:])
 	g := &Gateway{
 		Settings: s, protocol: p, store: store, clock: clock.RealClock{}, boot: uptime.Clock{}, log: klog.Logger{},
-		metrics: newMetrics(nil), tracer: telemetry.NoTraces().Tracer(telemetry.TracerName), source: rand.NewPCG(seed, 2),
+		metrics: newMetrics(nil), tracer: telemetry.NoTraces().Tracer(telemetry.TracerName),
 		roster: roster.New(), suspects: suspect.New(incarnation, suspect.WithCrashes(crashes)),
 	}
 	for _, o := range options {
@@ -126,7 +125,7 @@
 	}
 	keyAge := max(s.RevokeWithin-proofMargin, 0)
 	g.book = route.NewBook(keyAge)
-	g.random = rand.New(g.source)
+	g.random = rand.New(rand.NewPCG(seed, 2))
 	g.planner = dispatch.NewPlanner(s.Zone, dispatch.WithSource(rand.NewPCG(seed, 3)))
 	g.repeats = dispatch.NewAllowance(dispatch.AllowanceLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow})
 	g.group = peering.NewGroup(s.Peering, s.Zone, s.Seeds)
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -52,12 +52,20 @@
 	return list
 }
 
+// hold returns how long one reservation lasts, which the platform may bound.
+func (l *leases) hold() time.Duration {
+	if most := l.q.g.LeaseMax; most > 0 {
+		return min(leaseHold, most)
+	}
+	return leaseHold
+}
+
 // reserve reserves the memory at all engines, or at none, and keeps it until release.
 func (l *leases) reserve() error {
 	results := make([]error, len(l.servers))
 	var wg sync.WaitGroup
 	for i, s := range l.servers {
-		wg.Go(func() { results[i] = l.order(l.q.ctx, s, l.q.g.protocol.Reserve(s, l.name, l.tokens, leaseHold)) })
+		wg.Go(func() { results[i] = l.order(l.q.ctx, s, l.q.g.protocol.Reserve(s, l.name, l.tokens, l.hold())) })
 	}
 	wg.Wait()
 	for i, err := range results {
@@ -84,7 +92,7 @@
 		case <-l.q.g.clock.After(leaseRenew):
 		}
 		for _, s := range l.servers {
-			if err := l.order(ctx, s, l.q.g.protocol.Reserve(s, l.name, l.tokens, leaseHold)); err != nil && ctx.Err() == nil {
+			if err := l.order(ctx, s, l.q.g.protocol.Reserve(s, l.name, l.tokens, l.hold())); err != nil && ctx.Err() == nil {
 				l.q.g.log.Info("lease not renewed", "request", l.q.call.ID, "backend", s.ID, "error", err.Error())
 			}
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -103,6 +103,7 @@
 	case route.Admitted:
 		q.admitted = a
 		if g.refuses(a.Route.Kind) {
+			g.log.Info("request refused: stopping", "request", q.call.ID, "running", g.active.Load())
 			q.refuse("stopping", comeBackElsewhere)
 			return false
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -135,13 +135,6 @@
 // Service returns a service by its name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services calls fn for each service.
-func (t *Table) Services(fn func(*Service)) {
-	for _, s := range t.services {
-		fn(s)
-	}
-}
-
 // Match returns the route with the longest prefix of path among those of host, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.hosts[strings.ToLower(host)] {
