peering, dispatch: large groups know each other within seconds

Cause: on a scratch site of 294 gateways, most gateways knew 17 to 28 of the others after 26 s and 2 to 4 in the 6 s after a kill of all. Three faults: a change to a member in another zone waited for 5 times the pace of its own, 3 s at that size, which is the life of a member, so members were lost and joined again (7,605 and 51,854 lines in 38 s); six members were named in one of ten datagrams, from places that went in step; and a gateway that was named was told at the next full second. Besides, the twelve marks of crashes in a datagram were those with the largest fingerprints, all the time, so the others were never told and every datagram carried some 500 bytes of them.

Ruled out: lost datagrams (1 in 100 in the test, and the group completes).

Change: no change waits longer than a report that tells of none; members live for six of the group's pauses; members are named in each datagram until the group is quiet, from places of their own, and are told at once. Cold backend servers get their rate from many gateways by turns. Loads of others are summed when they arrive. Marks are told newest first, and the old ones in turn.

Conclusion: the full mesh serves 300 gateways; its bytes between zones grow with the square and are the price that binds beyond.

--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,8 +14,13 @@
 	localShare  = 0.3
 	evenShare   = 0.75
 	pooledShare = 0.6
-	// usageSlots divide the window in which requests and repeats are counted.
+	// firstShare is the share of the limits that a gateway reckons with in the first window after its start. What it repeated
+	// before, and others that were restarted with it, is not known but still counts.
+	firstShare = 0.5
+	// usageSlots divide the window in which requests and repeats are counted. One more is kept, because the present one has
+	// only begun: repeats count in it for the whole window, requests do not.
 	usageSlots = 10
+	keptSlots  = usageSlots + 1
 )
 
 // Usage is how many requests for a service one gateway got, and how many sends beyond the first it made, in the window.
@@ -38,7 +44,12 @@
 // repeat stays within the limits. It must be used by one goroutine at a time.
 type Allowance struct {
 	limits   AllowanceLimits
+	began    time.Time
 	gateways int
+	complete bool
+	// rounding, from 0 to 1, decides whether this gateway rounds a broken part up or down, so that the parts of many gateways
+	// of less than one repeat add up to what they may make together.
+	rounding float64
 	own      map[Key]*usageWindow
 	peers    map[string]usageReport
 }
@@ -50,17 +61,31 @@
 
 // usageWindow is a ring of counts.
 type usageWindow struct {
-	slots [usageSlots]struct{ requests, repeats int }
+	slots [keptSlots]struct{ requests, repeats int }
 	slot  int64
 }
 
-// NewAllowance returns an allowance for one gateway alone.
-func NewAllowance(limits AllowanceLimits) *Allowance {
-	return &Allowance{limits: limits, gateways: 1, own: map[Key]*usageWindow{}, peers: map[string]usageReport{}}
+// NewAllowance returns an allowance for one gateway alone that starts now. The source of randomness decides how its parts
+// are rounded.
+func NewAllowance(limits AllowanceLimits, now time.Time, source rand.Source) *Allowance {
+	return &Allowance{limits: limits, began: now, gateways: 1, complete: true, rounding: rand.New(source).Float64(), own: map[Key]*usageWindow{}, peers: map[string]usageReport{}}
 }
 
-// SetGateways tells how many gateways there are, this one included.
-func (a *Allowance) SetGateways(n int) { a.gateways = max(n, 1) }
+// SetGateways tells how many gateways there are, this one included, and whether these are probably all. Until they are, the
+// reserve is not used, because others may use it too.
+func (a *Allowance) SetGateways(n int, complete bool) { a.gateways, a.complete = max(n, 1), complete }
+
+// whole returns how many repeats all gateways together may make for a number of requests in the window.
+func (a *Allowance) whole(now time.Time, requests int) float64 {
+	whole := a.limits.Share * float64(requests)
+	if a.complete {
+		whole += a.limits.Reserve
+	}
+	if now.Sub(a.began) < a.limits.Window {
+		whole *= firstShare
+	}
+	return whole
+}
 
 // SetPeer takes what another gateway told, in place of what it told before.
 func (a *Allowance) SetPeer(now time.Time, gateway string, list []Usage) {
@@ -79,16 +104,19 @@
 		a.own[service] = w
 	}
 	slot := now.UnixNano() / max(int64(a.limits.Window/usageSlots), 1)
-	for passed := min(slot-w.slot, usageSlots); passed > 0; passed-- {
-		w.slots[(slot-passed+1)%usageSlots] = struct{ requests, repeats int }{}
+	for passed := min(slot-w.slot, keptSlots); passed > 0; passed-- {
+		w.slots[(slot-passed+1)%keptSlots] = struct{ requests, repeats int }{}
 	}
 	w.slot = max(w.slot, slot)
 	return w
 }
 
 func (w *usageWindow) sum() (requests, repeats int) {
-	for _, s := range w.slots {
-		requests += s.requests
+	oldest := int((w.slot + 1) % keptSlots)
+	for i, s := range w.slots {
+		if i != oldest {
+			requests += s.requests
+		}
 		repeats += s.repeats
 	}
 	return requests, repeats
@@ -97,7 +125,7 @@
 // Request counts a request for a service.
 func (a *Allowance) Request(now time.Time, service Key) {
 	w := a.window(now, service)
-	w.slots[w.slot%usageSlots].requests++
+	w.slots[w.slot%keptSlots].requests++
 }
 
 // Allows says whether one more repeat stays within the limits.
@@ -110,12 +138,12 @@
 			repeats += r.usage[service].Repeats
 		}
 	}
-	whole := a.limits.Share*float64(requests) + a.limits.Reserve
+	whole := a.whole(now, requests)
 	even := whole / float64(a.gateways)
-	if float64(own+1) <= localShare*even {
+	if float64(own+1) <= localShare*even+a.rounding {
 		return true
 	}
-	return float64(own+1) <= evenShare*even && float64(repeats+1) <= pooledShare*whole
+	return float64(own+1) <= evenShare*even+a.rounding && float64(repeats+1) <= pooledShare*whole
 }
 
 // Repeat counts a repeat if it is allowed, and returns whether it is.
@@ -124,7 +152,7 @@
 		return false
 	}
 	w := a.window(now, service)
-	w.slots[w.slot%usageSlots].repeats++
+	w.slots[w.slot%keptSlots].repeats++
 	return true
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,8 +160,9 @@
 	states map[Key]*state
 	jobs   map[Ticket]*job
 	next   Ticket
-	// peers holds what each other gateway told last.
-	peers    map[string]*report
+	// peers holds what each other gateway told last, told the sum of it by backend server.
+	peers    map[string]report
+	told     map[Key]*told
 	gateways int
 	changed  bool
 	scratch  []view
@@ -170,7 +171,13 @@
 // report is what one gateway told.
 type report struct {
 	at    time.Time
-	loads map[Key]Load
+	loads []Load
+}
+
+// told is what all other gateways have outstanding at one backend server, and until when some of them avoid it.
+type told struct {
+	sum   Load
+	avoid map[string]time.Time
 }
 
 // Option configures a Planner.
@@ -185,7 +192,7 @@
 func NewPlanner(zone string, options ...Option) *Planner {
 	p := &Planner{
 		zone: zone, random: rand.New(rand.NewPCG(1, 2)), states: map[Key]*state{}, jobs: map[Ticket]*job{},
-		peers: map[string]*report{}, gateways: 1,
+		peers: map[string]report{}, told: map[Key]*told{}, gateways: 1,
 	}
 	for _, o := range options {
 		o(p)
@@ -217,11 +224,55 @@
 
 // SetPeer takes the loads that another gateway told, in place of those it told before.
 func (p *Planner) SetPeer(now time.Time, gateway string, loads []Load) {
-	r := &report{at: now, loads: make(map[Key]Load, len(loads))}
+	p.forgetPeer(gateway)
+	p.peers[gateway] = report{at: now, loads: loads}
 	for _, l := range loads {
-		r.loads[l.Key] = l
+		t := p.told[l.Key]
+		if t == nil {
+			t = &told{}
+			p.told[l.Key] = t
+		}
+		t.sum.add(l, 1)
+		if l.Avoid > 0 {
+			if t.avoid == nil {
+				t.avoid = map[string]time.Time{}
+			}
+			t.avoid[gateway] = now.Add(l.Avoid)
+		}
 	}
-	p.peers[gateway] = r
+}
+
+// forgetPeer takes what a gateway told out of the sums.
+func (p *Planner) forgetPeer(gateway string) {
+	for _, l := range p.peers[gateway].loads {
+		t := p.told[l.Key]
+		if t == nil {
+			continue // an empty load, dropped with the last other one
+		}
+		t.sum.add(l, -1)
+		delete(t.avoid, gateway)
+		if t.sum == (Load{}) && len(t.avoid) == 0 {
+			delete(p.told, l.Key)
+		}
+	}
+	delete(p.peers, gateway)
+}
+
+// expirePeers forgets the gateways that have told nothing for too long.
+func (p *Planner) expirePeers(now time.Time) {
+	for gateway, r := range p.peers {
+		if now.Sub(r.at) > peerLife {
+			p.forgetPeer(gateway)
+		}
+	}
+}
+
+// add adds the counts of another load, or takes them away with a sign of -1.
+func (l *Load) add(other Load, sign int) {
+	l.Short += sign * other.Short
+	l.Long += sign * other.Long
+	l.Unread += time.Duration(sign) * other.Unread
+	l.Memory += int64(sign) * other.Memory
 }
 
 // OldestReport returns the age of the oldest loads of another gateway that count.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -249,6 +249,42 @@
 	assert.Assert(t, sent > 40 && sent <= 120, "%d sends in 10 s", sent)
 }
 
+// Guards against cold backend servers that get a request from each of many gateways at once, although each may send only a
+// part of one in a second.
+func TestColdSharedByMany(t *testing.T) {
+	list := servers(1)
+	list[0].ColdUntil = start.Add(time.Minute)
+	const gateways, perSecond = 300, 36
+	var planners []*dispatch.Planner
+	for i := range gateways {
+		p := planner(uint64(i))
+		p.SetGateways(gateways)
+		planners = append(planners, p)
+	}
+	var sent []int
+	for at := time.Duration(0); at < 20*time.Second; at += 50 * time.Millisecond {
+		n := 0
+		for _, p := range planners {
+			w := dispatch.Work{ColdPerSecond: perSecond}
+			if send, ok := p.Place(start.Add(at), w, list, nil).(dispatch.Send); ok {
+				p.Ended(start.Add(at), p.Placed(start.Add(at), w, send), dispatch.Answered{})
+				n++
+			}
+		}
+		sent = append(sent, n)
+	}
+	whole := 0
+	for i, n := range sent {
+		whole += n
+		second := 0
+		for _, m := range sent[max(0, i-19) : i+1] {
+			second += m
+		}
+		assert.Assert(t, second <= perSecond*3/2, "%d sends in a second", second)
+	}
+	assert.Assert(t, whole > 20*perSecond*8/10, "%d sends in 20 s", whole)
+}
+
 // Guards against loads of a gateway that ended, which would keep its engines unused.
 func TestPeersExpire(t *testing.T) {
 	p, list := planner(1), servers(2)
@@ -266,6 +302,49 @@
 	assert.Equal(t, count(start.Add(3*time.Second)), 20, "its zone's engine again")
 }
 
+// Guards against sums of other gateways' loads that drift when reports replace each other, come empty or expire.
+func TestToldSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, list := planner(1), servers(4)
+		type report struct {
+			at    time.Time
+			loads []dispatch.Load
+		}
+		last := map[string]report{}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			gateway := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "gateway"))
+			var loads []dispatch.Load
+			for range rapid.IntRange(0, 4).Draw(t, "loads") {
+				s := list[rapid.IntRange(0, 3).Draw(t, "server")]
+				loads = append(loads, dispatch.Load{
+					Key: dispatch.KeyOf(s), Short: rapid.IntRange(0, 2).Draw(t, "short"), Memory: int64(rapid.IntRange(0, 2).Draw(t, "memory")),
+					Unread: time.Duration(rapid.IntRange(0, 2).Draw(t, "unread")) * time.Millisecond,
+				})
+			}
+			p.SetPeer(now, gateway, loads)
+			last[gateway] = report{now, loads}
+			for _, s := range list {
+				var want dispatch.Load
+				for _, r := range last {
+					for _, l := range r.loads {
+						if now.Sub(r.at) <= 2*time.Second && l.Key == dispatch.KeyOf(s) {
+							want.Short += l.Short
+							want.Memory += l.Memory
+							want.Unread += l.Unread
+						}
+					}
+				}
+				send, ok := p.Place(now, short(), []*roster.Server{s}, nil).(dispatch.Send)
+				assert.Assert(t, ok)
+				want.Key = send.Seen.Key
+				assert.DeepEqual(t, send.Seen, want)
+			}
+		}
+	})
+}
+
 // Guards against counts that drift: whatever happens to requests, nothing stays counted after their end, and no count is
 // negative meanwhile.
 func TestCountsHeal(t *testing.T) {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"berylward.example/berylward/internal/roster"
@@ -87,6 +88,9 @@
 type coldLimit struct {
 	start         time.Time
 	count, former int
+	// next is when one more send is due at a rate below one in coldWindow, and period the pause at that rate.
+	next   time.Time
+	period time.Duration
 }
 
 // coldWindow is the span over which sends to a cold backend server are limited. Any span of this length counts, so the
@@ -105,10 +109,22 @@
 func (c *coldLimit) note(now time.Time) {
 	c.roll(now)
 	c.count++
+	if c.period > 0 {
+		c.next = now.Add(c.period)
+	}
 }
 
-// bears says whether one more send stays within a share of a rate per second.
-func (c *coldLimit) bears(now time.Time, perSecond float64) bool {
-	c.roll(now)
-	return float64(c.count+c.former+1) <= max(perSecond, 1)
+// bears says whether one more send stays within a share of a rate per second. Where the share is below one send in
+// coldWindow, gateways take turns: each draws when its first send is due, so that not all send at once.
+func (c *coldLimit) bears(now time.Time, perSecond float64, random *rand.Rand) bool {
+	if perSecond >= 1 {
+		c.period = 0
+		c.roll(now)
+		return float64(c.count+c.former+1) <= perSecond
+	}
+	c.period = time.Duration(float64(coldWindow) / perSecond)
+	if now.Sub(c.next) > c.period {
+		c.next = now.Add(time.Duration(random.Float64() * float64(c.period)))
+	}
+	return !now.Before(c.next)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -102,6 +102,7 @@
 
 // views returns the backend servers that may be asked, those that are avoided only when there are no others.
 func (p *Planner) views(now time.Time, w Work, servers []*roster.Server, tried []string) ([]view, bool) {
+	p.expirePeers(now)
 	p.scratch = p.scratch[:0]
 	cold, healthy := false, 0
 	var mean float64
@@ -113,22 +114,16 @@
 			continue
 		}
 		st := p.state(s)
-		if w.ColdPerSecond > 0 && now.Before(s.ColdUntil) && !st.cold.bears(now, w.ColdPerSecond/float64(p.gateways)) {
+		if w.ColdPerSecond > 0 && now.Before(s.ColdUntil) && !st.cold.bears(now, w.ColdPerSecond/float64(p.gateways), p.random) {
 			cold = true
 			continue
 		}
 		v := view{server: s, state: st, total: st.own, rank: p.rank(s, st.key)}
 		v.avoid = now.Before(st.avoidUntil) || float64(st.errors) > mean+errorMargin
-		for _, r := range p.peers {
-			if now.Sub(r.at) > peerLife {
-				continue
-			}
-			if l, ok := r.loads[st.key]; ok {
-				v.total.Short += l.Short
-				v.total.Long += l.Long
-				v.total.Unread += l.Unread
-				v.total.Memory += l.Memory
-				v.avoid = v.avoid || now.Sub(r.at) < l.Avoid
+		if t := p.told[st.key]; t != nil {
+			v.total.add(t.sum, 1)
+			for _, until := range t.avoid {
+				v.avoid = v.avoid || now.Before(until)
 			}
 		}
 		if !v.avoid {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,8 @@
 	g.book = route.NewBook(keyAge)
 	g.random = rand.New(rand.NewPCG(seed, 2))
 	g.planner = dispatch.NewPlanner(s.Zone, dispatch.WithSource(rand.NewPCG(seed, 3)))
-	g.repeats = dispatch.NewAllowance(dispatch.AllowanceLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow})
+	repeats := dispatch.AllowanceLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow}
+	g.repeats = dispatch.NewAllowance(repeats, g.clock.Now(), rand.NewPCG(seed, 4))
 	g.group = peering.NewGroup(s.Peering, s.Zone, s.Seeds)
 	g.incarnation = uint64(g.clock.Now().UnixNano())
 	if err := g.listen(); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,8 +13,10 @@
 const (
 	// maxDatagram bounds a received datagram in bytes.
 	maxDatagram = 4 << 10
-	// markLimit bounds the marks of crashes in one datagram.
-	markLimit = 12
+	// markLimit bounds the marks of crashes in one datagram. Every member gets a datagram more often than markRecent, in which
+	// new ones are told.
+	markLimit  = 12
+	markRecent = 3 * time.Second
 )
 
 // receivePeers is the task that takes datagrams from other gateways.
@@ -50,7 +52,7 @@
 	if _, ok := news.(peering.Fresh); ok {
 		g.planner.SetPeer(now, from.String(), s.Loads)
 		g.repeats.SetPeer(now, from.String(), s.Usages)
-		g.resize()
+		g.resize(now)
 		if len(s.Marks) > 0 {
 			if marks, err := suspect.DecodeMarks(s.Marks); err == nil {
 				g.suspects.Merge(now, marks)
@@ -66,10 +68,10 @@
 }
 
 // resize puts the number of gateways into force, among which limits are shared.
-func (g *Gateway) resize() {
+func (g *Gateway) resize(now time.Time) {
 	n := g.group.Size()
 	g.planner.SetGateways(n)
-	g.repeats.SetGateways(n)
+	g.repeats.SetGateways(n, g.group.Complete(now))
 }
 
 // sendState is the task that sends this gateway's state to the others.
@@ -79,9 +81,7 @@
 		now := g.clock.Now()
 		g.mu.Lock()
 		gone := g.group.Expire(now)
-		if len(gone) > 0 {
-			g.resize()
-		}
+		g.resize(now)
 		loads, changed := g.planner.Loads(now)
 		to := g.group.Due(now, changed)
 		interval = g.group.Interval()
@@ -107,13 +107,13 @@
 }
 
 func (g *Gateway) encodeState(now time.Time, loads []dispatch.Load) []byte {
-	sequence, members := g.group.Next()
+	sequence, members := g.group.Next(now)
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.stopping.Load() != 0, Members: members, Loads: loads,
 		Usages: g.repeats.Usages(now),
 	}
-	if marks := g.suspects.Marks(now); len(marks) > 0 {
-		encoded, err := suspect.EncodeMarks(marks[max(0, len(marks)-markLimit):])
+	if marks := g.suspects.Sample(now, markRecent, markLimit); len(marks) > 0 {
+		encoded, err := suspect.EncodeMarks(marks)
 		if err != nil {
 			g.log.Error(err, "crash marks not sent")
 		}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,26 +9,41 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"berylward.example/berylward/internal/dispatch"
 )
 
 const (
-	// memberLife is how long a gateway that sends nothing counts as a member.
+	// memberLife is how long a gateway that sends nothing counts as a member, lifeGaps the datagrams of a large group that
+	// may be missed in that time.
 	memberLife = 3 * time.Second
+	lifeGaps   = 6
 	// reportGap is the longest pause between two datagrams to a member when nothing changes.
 	reportGap = 500 * time.Millisecond
 	// changeGap is the shortest pause between two datagrams to a member when something changes; memberGap is added to it
 	// for each member, which bounds what a large group costs an instance. Members in other zones get farGapFactor times
-	// that pause when the group is large, because bytes between zones are dear and requests mostly stay in their zone.
+	// that pause when the group is large, because bytes between zones are dear and requests mostly stay in their zone. No
+	// change waits longer than a report that tells of none.
 	changeGap    = 15 * time.Millisecond
 	memberGap    = 2 * time.Millisecond
 	farGapFactor = 5
 	// smallGroup is the number of members up to which all are told at the same pace.
 	smallGroup = 4
-	// seedGap is the pause between two datagrams to a seed that is not a member.
+	// seedGap is the pause between two datagrams to a seed, or to a gateway that others name, that is not a member.
 	seedGap = time.Second
+	// The members are probably complete when none has joined for completeQuiet, and at the latest completeMost after the
+	// start.
+	completeQuiet = time.Second
+	completeMost  = 6 * time.Second
 	// maxMembers bounds the group; memory and datagrams grow with it.
 	maxMembers = 512
+	// introductions is how many members are named in one datagram; all are named in turn. Datagrams name more of them until
+	// settleTime after a gateway joined, otherwise one of introduceEvery datagrams names any.
+	introductions     = 6
+	introductionsMost = 12
+	introduceEvery    = 10
+	settleTime        = 1 * time.Second
 )
 
 // State is what a gateway tells of itself.
@@ -60,18 +75,26 @@
 
 // Group holds the members. It must be used by one goroutine at a time.
 type Group struct {
-	self     netip.AddrPort
-	seeds    []netip.AddrPort
-	members  map[netip.AddrPort]*member
-	zone     string
-	seeded   time.Time
-	sequence uint64
-	rotation int
+	self    netip.AddrPort
+	seeds   []netip.AddrPort
+	members map[netip.AddrPort]*member
+	zone    string
+	seeded  time.Time
+	// began is when the first datagram was due, joined when a gateway became a member last.
+	began, joined time.Time
+	sequence      uint64
+	// rotation is the place among the members from which on they are introduced next.
+	rotation uint64
 }
 
 // NewGroup returns a group of this gateway alone. Seeds are told of it until they answer.
 func NewGroup(self netip.AddrPort, zone string, seeds []netip.AddrPort) *Group {
-	return &Group{self: self, zone: zone, seeds: seeds, members: map[netip.AddrPort]*member{}}
+	// Gateways begin at different members, so that they do not name the same ones at a time.
+	text, _ := self.MarshalBinary()
+	return &Group{
+		self: self, zone: zone, seeds: seeds, members: map[netip.AddrPort]*member{},
+		rotation: xxhash.Sum64(text) >> 1,
+	}
 }
 
 // SetSeeds replaces the seeds.
@@ -111,6 +134,9 @@
 		m = &member{}
 		g.members[from] = m
 	}
+	if joined {
+		g.joined = now
+	}
 	m.received, m.incarnation, m.sequence, m.stopping, m.zone = now, s.Incarnation, s.Sequence, s.Stopping, s.Zone
 	return Fresh{Joined: joined}
 }
@@ -128,8 +154,9 @@
 // Expire forgets the gateways that were silent for too long and returns them.
 func (g *Group) Expire(now time.Time) []netip.AddrPort {
 	var gone []netip.AddrPort
+	life := max(memberLife, lifeGaps*g.Interval())
 	for address, m := range g.members {
-		if !m.received.IsZero() && now.Sub(m.received) > memberLife {
+		if !m.received.IsZero() && now.Sub(m.received) > life {
 			delete(g.members, address)
 			gone = append(gone, address)
 		}
@@ -148,9 +175,20 @@
 	return n
 }
 
+// Complete says whether the gateways that take requests have probably all been heard.
+func (g *Group) Complete(now time.Time) bool {
+	if g.began.IsZero() {
+		return false
+	}
+	return now.Sub(g.began) >= completeMost || now.Sub(g.began) >= completeQuiet && now.Sub(g.joined) >= completeQuiet
+}
+
 // Due returns to whom the state is to be sent now. changed says whether the state differs from the last call's.
 func (g *Group) Due(now time.Time, changed bool) []netip.AddrPort {
 	var to []netip.AddrPort
+	if g.began.IsZero() {
+		g.began = now
+	}
 	strangers := now.Sub(g.seeded) >= seedGap
 	if strangers {
 		g.seeded = now
@@ -158,13 +196,12 @@
 	for address, m := range g.members {
 		m.pending = m.pending || changed
 		switch known := !m.received.IsZero(); {
-		case known && now.Sub(m.sent) >= g.gap(m):
+		case known && now.Sub(m.sent) >= g.gap(m), !known && m.sent.IsZero():
 			m.sent, m.pending = now, false
 			to = append(to, address)
-		case !known && strangers:
-			// It is told once of this gateway; if it lives, it answers.
+		case !known && now.Sub(m.sent) >= seedGap:
+			// It was told of this gateway and has not answered. If it lives, others go on naming it.
 			delete(g.members, address)
-			to = append(to, address)
 		}
 	}
 	if strangers {
@@ -179,22 +216,28 @@
 
 // gap returns the pause between two datagrams to a member.
 func (g *Group) gap(m *member) time.Duration {
+	near := g.Interval()
+	idle := max(reportGap, near)
 	switch {
 	case !m.pending:
-		return reportGap
+		return idle
 	case m.zone != g.zone && len(g.members) > smallGroup:
-		return farGapFactor * g.Interval()
+		return min(farGapFactor*near, idle)
 	}
-	return g.Interval()
+	return near
 }
 
 // Interval returns the shortest pause between two datagrams to the same member.
 func (g *Group) Interval() time.Duration { return changeGap + time.Duration(len(g.members))*memberGap }
 
 // Next returns the sequence number for the next datagram and some members to introduce in it.
-func (g *Group) Next() (uint64, []netip.AddrPort) {
+func (g *Group) Next(now time.Time) (uint64, []netip.AddrPort) {
 	g.sequence++
-	if g.sequence%introduceEvery != 1 {
+	count := introductions
+	switch {
+	case now.Sub(g.joined) < settleTime:
+		count = introductionsMost
+	case g.sequence%introduceEvery != 1:
 		return g.sequence, nil
 	}
 	var known []netip.AddrPort
@@ -204,16 +247,10 @@
 		}
 	}
 	slices.SortFunc(known, netip.AddrPort.Compare)
-	if len(known) > introductions {
-		g.rotation = (g.rotation + introductions) % len(known)
-		known = append(known[g.rotation:], known[:g.rotation]...)[:introductions]
+	if len(known) > count {
+		first := int(g.rotation % uint64(len(known)))
+		g.rotation += uint64(count)
+		known = append(known[first:], known[:first]...)[:count]
 	}
 	return g.sequence, known
 }
-
-const (
-	// introductions is how many members are named in one datagram; all are named in turn.
-	introductions = 6
-	// introduceEvery is which share of the datagrams names members.
-	introduceEvery = 10
-)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -1,6 +1,8 @@
 package peering_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -84,6 +86,99 @@
 	assert.Assert(t, sent >= 170 && sent <= 230, "%d datagrams in a second", sent)
 }
 
+// Guards against large groups whose gateways learn of each other too late, or lose each other because they send rarely,
+// and against more datagrams than an instance bears. Limits are shared among the gateways that are known.
+func TestLargeGroups(t *testing.T) {
+	cases := map[string]struct {
+		gateways int
+		// known is when all must know all others.
+		known time.Duration
+		// rate is the most datagrams a second that one gateway sends, in the mean.
+		rate float64
+	}{
+		"3":   {3, time.Second, 150},
+		"21":  {21, 2 * time.Second, 400},
+		"100": {100, 3 * time.Second, 500},
+		"300": {300, 5 * time.Second, 600},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			const (
+				step = 5 * time.Millisecond
+				way  = 2 * time.Millisecond
+				span = 7 * time.Second
+				look = 50 * time.Millisecond
+			)
+			random := rand.New(rand.NewPCG(1, uint64(tc.gateways)))
+			address := func(i int) netip.AddrPort {
+				return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+			}
+			type datagram struct {
+				to    int
+				from  netip.AddrPort
+				state peering.State
+			}
+			index := map[netip.AddrPort]int{}
+			var groups []*peering.Group
+			var next []time.Duration
+			for i := range tc.gateways {
+				index[address(i)] = i
+				zone := fmt.Sprint(i % 3)
+				groups = append(groups, peering.NewGroup(address(i), zone, []netip.AddrPort{address(0), address(1), address(2)}))
+				next = append(next, time.Duration(random.IntN(300))*time.Millisecond)
+			}
+			var onWay []datagram
+			complete, incomplete, lost, sent := time.Duration(0), 0, 0, 0
+			for at := time.Duration(0); at < span; at += step {
+				now := start.Add(at)
+				arrived := onWay
+				onWay = nil
+				for _, d := range arrived {
+					groups[d.to].Receive(now.Add(way-step), d.from, d.state)
+				}
+				for i, g := range groups {
+					if at < next[i] {
+						continue
+					}
+					lost += len(g.Expire(now))
+					to := g.Due(now, true)
+					slices.SortFunc(to, netip.AddrPort.Compare) // makes the losses the same in each run
+					if len(to) > 0 {
+						sequence, members := g.Next(now)
+						s := peering.State{Incarnation: 1, Sequence: sequence, Zone: fmt.Sprint(i % 3), Members: members}
+						for _, other := range to {
+							sent++
+							if random.Float64() > 0.01 {
+								onWay = append(onWay, datagram{index[other], address(i), s})
+							}
+						}
+					}
+					next[i] = at + g.Interval()
+				}
+				if at%look != 0 {
+					continue
+				}
+				whole := true
+				for _, g := range groups {
+					size := g.Size()
+					whole = whole && size == tc.gateways
+					if g.Complete(now) {
+						incomplete = max(incomplete, tc.gateways-size)
+					}
+				}
+				if whole && complete == 0 {
+					complete = at
+				}
+			}
+			assert.Assert(t, complete > 0 && complete <= tc.known, "all known after %v", complete)
+			assert.Assert(t, incomplete <= tc.gateways/10, "%d gateways not known when all should be", incomplete)
+			assert.Equal(t, lost, 0, "gateways taken for gone")
+			rate := float64(sent) / float64(tc.gateways) / span.Seconds()
+			assert.Assert(t, rate <= tc.rate, "%.0f datagrams a second", rate)
+		})
+	}
+}
+
 // Guards against fields that are lost on the wire, and datagrams that are too large or hold senseless numbers.
 func TestMessages(t *testing.T) {
 	state := peering.State{
--- a/internal/suspect/register.go
+++ b/internal/suspect/register.go
@@ -53,8 +53,10 @@
 	incarnation uuid.UUID
 	opt         options
 	crashes     uint64
-	marks       map[Fingerprint][]mark
-	servers     map[string]*server
+	// told is the place of the mark that was told last in turn.
+	told    int
+	marks   map[Fingerprint][]mark
+	servers map[string]*server
 }
 
 // server is what runs on one backend server.
@@ -280,6 +282,24 @@
 	return out
 }
 
+// Sample returns at most limit marks for a peer that gets such samples all the time: the newest crashes that this register
+// recorded within recent, and one of all marks in turn. Marks of others are only told in turn, because every register tells
+// its own.
+func (r *Register) Sample(now time.Time, recent time.Duration, limit int) []Mark {
+	all := r.Marks(now)
+	if len(all) == 0 {
+		return nil
+	}
+	r.told = (r.told + 1) % len(all)
+	turn := all[r.told]
+	sample := slices.DeleteFunc(all, func(m Mark) bool {
+		return m.Crash == turn.Crash && m.Fingerprint == turn.Fingerprint ||
+			m.Crash.Incarnation != r.incarnation || m.Remaining < markLife-recent
+	})
+	slices.SortStableFunc(sample, func(a, b Mark) int { return cmp.Compare(b.Remaining, a.Remaining) })
+	return append(sample[:min(len(sample), limit-1)], turn)
+}
+
 // Digest returns a digest of the live marks for heartbeats. Two registers with the same marks have the same
 // digest, except for the short time in which a mark has expired on only one side.
 func (r *Register) Digest(now time.Time) uint64 {
--- a/internal/suspect/register_test.go
+++ b/internal/suspect/register_test.go
@@ -40,3 +40,38 @@
 		})
 	}
 }
+
+// Guards against crashes that others never hear of because only a few marks fit into a message: a new one is told at once,
+// and each in time.
+func TestSample(t *testing.T) {
+	const limit = 12
+	r := New(uuid.UUID{1})
+	var all []Fingerprint
+	for i := range 100 {
+		f := Fingerprint{byte(200 - i)}
+		all = append(all, f)
+		now := start.Add(time.Duration(i) * time.Second)
+		r.Crashed(now, "i-1", []Fingerprint{f})
+		told := r.Sample(now, 3*time.Second, limit)
+		assert.Assert(t, len(told) <= limit)
+		assert.Equal(t, told[0].Fingerprint, f, "the newest is told first")
+	}
+	told := map[Fingerprint]bool{}
+	for range 100 {
+		marks := r.Sample(start.Add(200*time.Second), 3*time.Second, limit)
+		assert.Equal(t, len(marks), 1, "old marks are told one at a time")
+		told[marks[0].Fingerprint] = true
+	}
+	assert.Equal(t, len(told), len(all))
+	for i := range 30 {
+		r.Crashed(start.Add(300*time.Second), "i-1", []Fingerprint{{1, byte(i)}})
+	}
+	for range 300 {
+		marks := r.Sample(start.Add(301*time.Second), 3*time.Second, limit)
+		assert.Equal(t, len(marks), limit)
+		for _, m := range marks {
+			told[m.Fingerprint] = true
+		}
+	}
+	assert.Equal(t, len(told), 130, "each of many new marks is told")
+}
