backend, dispatch: gateways share the connections of a backend server

Cause: a backend server resets connections beyond the number that it accepts from all callers. The number was decoded and not used: each gateway kept up to 24 idle connections, and each booking opens a new one, so 21 gateways soon hold more than the 67 of one desk.

Change: a gateway keeps its even part of 0.6 of the connections that a backend server accepts; the rest is for running requests.

TestIdle and TestIdleLimit guard it.

Conclusion: a published limit that nothing reads is a fault by itself.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -22,8 +22,8 @@
 	idleDefault = 4 * time.Second
 	// idleMargin is left before the time that a backend server announced, for the way there.
 	idleMargin = 500 * time.Millisecond
-	// maxIdle bounds the idle connections to one backend server.
-	maxIdle = 24
+	// MaxIdle bounds the idle connections to one backend server.
+	MaxIdle = 24
 	// inlineBody is the largest body in bytes that is written before the answer is read. A backend server may answer
 	// before it has read a longer one.
 	inlineBody = 16 << 10
@@ -173,7 +173,7 @@
 	return err == nil && quiet
 }
 
-func (p *Pool) put(c *conn, keep time.Duration) {
+func (p *Pool) put(c *conn, keep time.Duration, most int) {
 	if keep == 0 {
 		keep = idleDefault
 	}
@@ -185,7 +185,7 @@
 	}
 	p.mu.Lock()
 	list := p.idle[c.address]
-	if len(list) < maxIdle {
+	if len(list) < most {
 		p.idle[c.address] = append(list, c)
 		c = nil
 	}
@@ -228,6 +228,8 @@
 	Address netip.AddrPort
 	// Fresh asks for a new connection, for a request that must not be lost on one that died unnoticed.
 	Fresh bool
+	// Idle is how many connections to the address may be kept after the exchange, MaxIdle at most.
+	Idle int
 	// DialTimeout bounds the opening of a connection, HeadTimeout the wait for the head of the answer after it.
 	DialTimeout, HeadTimeout time.Duration
 	// Extend is asked when nothing came in time, and returns how much longer to wait; zero gives up. It may be nil.
@@ -241,6 +243,7 @@
 	Response *http.Response
 	conn     *conn
 	pool     *Pool
+	idle     int
 	stop     func() bool
 	written  chan error
 }
@@ -259,7 +262,7 @@
 		}
 		c = opened
 	}
-	x := &Exchange{conn: c, pool: p}
+	x := &Exchange{conn: c, pool: p, idle: min(plan.Idle, MaxIdle)}
 	x.stop = context.AfterFunc(ctx, c.abort)
 	if err := x.run(r, plan); err != nil {
 		x.stop()
@@ -375,7 +378,7 @@
 func (x *Exchange) Done(whole bool, keep time.Duration) {
 	canceled := !x.stop()
 	if whole && !canceled && !x.Response.Close && x.bodyWritten() {
-		x.pool.put(x.conn, keep)
+		x.pool.put(x.conn, keep, x.idle)
 		return
 	}
 	if whole {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -68,7 +68,7 @@
 
 func plan() backend.Plan {
 	return backend.Plan{
-		Address: address, DialTimeout: time.Second, HeadTimeout: time.Second,
+		Address: address, DialTimeout: time.Second, HeadTimeout: time.Second, Idle: backend.MaxIdle,
 		Own: func(r *http.Response) bool { return r.Header.Get("Id") == "own" },
 	}
 }
@@ -221,3 +221,42 @@
 		})
 	}
 }
+
+// Guards against idle connections beyond the part of a backend server's connections that one gateway may hold.
+func TestIdleLimit(t *testing.T) {
+	for name, tc := range map[string]struct{ idle, dials int }{
+		"none":  {0, 6},
+		"one":   {1, 5},
+		"three": {3, 3},
+		"many":  {100, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dials := 0
+				pool := backend.NewPool(clock.RealClock{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
+					dials++
+					near, far := net.Pipe()
+					go script{say(ok), say(ok)}.run(far)
+					return near, nil
+				})
+				p := plan()
+				p.Idle = tc.idle
+				for range 2 {
+					var open []*backend.Exchange
+					for range 3 {
+						x, err := pool.Exchange(t.Context(), p, request("b"))
+						assert.NilError(t, err)
+						_, err = io.ReadAll(x.Response.Body)
+						assert.NilError(t, err)
+						open = append(open, x)
+					}
+					for _, x := range open {
+						x.Done(true, 0)
+					}
+				}
+				assert.Equal(t, dials, tc.dials)
+				pool.Close()
+			})
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -222,6 +223,19 @@
 // SetGateways tells how many gateways there are, this one included. Limits on cold backend servers are shared evenly.
 func (p *Planner) SetGateways(n int) { p.gateways = max(n, 1) }
 
+// Idle returns how many idle connections this gateway may keep to one backend server that accepts most from all callers;
+// zero most means that it states no bound.
+func (p *Planner) Idle(most int) int {
+	if most == 0 {
+		return math.MaxInt
+	}
+	return int(idleConnections * float64(most) / float64(p.gateways))
+}
+
+// idleConnections is the share of the connections accepted by a backend server that gateways together may keep idle. The rest
+// is for requests that run, and for gateways that have not heard of each other.
+const idleConnections = 0.6
+
 // SetPeer takes the loads that another gateway told, in place of those it told before.
 func (p *Planner) SetPeer(now time.Time, gateway string, loads []Load) {
 	p.forgetPeer(gateway)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -285,6 +285,24 @@
 	assert.Assert(t, whole > 20*perSecond*8/10, "%d sends in 20 s", whole)
 }
 
+// Guards against gateways that together keep more connections to a backend server than it accepts.
+func TestIdle(t *testing.T) {
+	for name, tc := range map[string]struct{ most, gateways, least int }{
+		"alone":         {96, 1, 24},
+		"three":         {96, 3, 8},
+		"few for each":  {67, 21, 1},
+		"many gateways": {190, 294, 0},
+		"not stated":    {0, 21, 24},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := planner(1)
+			p.SetGateways(tc.gateways)
+			idle := p.Idle(tc.most)
+			assert.Assert(t, idle >= tc.least && (tc.most == 0 || idle*tc.gateways <= tc.most), "%d idle connections", idle)
+		})
+	}
+}
+
 // Guards against loads of a gateway that ended, which would keep its engines unused.
 func TestPeersExpire(t *testing.T) {
 	p, list := planner(1), servers(2)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,8 +238,8 @@
 	plain := q.admitted.Route.Kind != route.Stream
 	plan := backend.Plan{
 		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining), Extend: extend,
-		Fresh: q.admitted.Route.Kind == route.Unsafe,
-		Own:   func(resp *http.Response) bool { return g.owns(&q.call, resp) },
+		Fresh: q.admitted.Route.Kind == route.Unsafe, Idle: q.idle,
+		Own: func(resp *http.Response) bool { return g.owns(&q.call, resp) },
 	}
 	if plain {
 		plan.DialTimeout = min(dialTimeoutPlain, remaining)
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -118,7 +118,9 @@
 
 func (l *leases) order(ctx context.Context, s *roster.Server, r *http.Request) error {
 	l.q.g.metrics.count("orders")
-	x, err := l.q.g.pool.Exchange(ctx, backend.Plan{Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout}, r)
+	x, err := l.q.g.pool.Exchange(ctx, backend.Plan{
+		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, Idle: l.q.idle,
+	}, r)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,6 +44,7 @@
 	deadline  time.Time
 	service   string
 	work      dispatch.Work
+	idle      int // connections that may be kept to each backend server of the service
 	print     suspect.Fingerprint
 	tried     []string
 	ran       []*roster.Server // backend servers that may have run it
@@ -177,7 +178,7 @@
 	q.work.Due = q.arrived.Add(q.work.Target)
 	q.work.Latest = q.latest()
 	if s := g.book.Table().Service(q.service); s != nil {
-		q.work.ColdPerSecond = s.ColdPerSecond
+		q.work.ColdPerSecond, q.idle = s.ColdPerSecond, g.planner.Idle(s.MaxConnections)
 		if p := q.call.Prompt; p != nil && s.Engine != nil {
 			q.work.Engine, q.work.Prompt, q.work.Answer = s.Engine, p.Tokens, p.MaxAnswer
 			if p.Hint > 0 && p.Hint < p.MaxAnswer {
