gateway: requests wait a moment for the first table after a start

Cause: a gateway listens before it has read the store, and callers with open connections or a fixed choice reach it then. It refused them at once (503), and logged the age of the table, which it did not have, as 0.

Ruled out: listening later, because a connection that is refused costs the caller more than one that waits.

Change: a request waits up to a second, and up to a quarter of its caller's patience, for the first table. A refusal after that has a line of its own, which says how long it waited.

TestFirstTable failed before (503 for 200).

Conclusion: a start is no reason to refuse.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -181,7 +181,10 @@
 	}
 	if readable && g.book.Table() != nil {
 		g.book.Prove(sent)
-		g.loaded = true
+		if !g.loaded {
+			g.loaded = true
+			close(g.begun)
+		}
 	}
 	g.mu.Unlock()
 	for _, line := range lines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	suspects *suspect.Register
 	random   *rand.Rand
 	loaded   bool
+	// begun is closed when the first table is in force.
+	begun chan struct{}
 }
 
 // Option configures a gateway.
@@ -115,7 +117,7 @@
 	g := &Gateway{
 		Settings: s, protocol: p, store: store, clock: clock.RealClock{}, boot: uptime.Clock{}, log: klog.Logger{},
 		metrics: newMetrics(nil), tracer: telemetry.NoTraces().Tracer(telemetry.TracerName),
-		roster: roster.New(), suspects: suspect.New(incarnation, suspect.WithCrashes(crashes)),
+		begun: make(chan struct{}), roster: roster.New(), suspects: suspect.New(incarnation, suspect.WithCrashes(crashes)),
 	}
 	for _, o := range options {
 		o(g)
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -345,3 +345,29 @@
 		assert.Assert(t, got.whole)
 	})
 }
+
+// Guards against requests that are refused because their gateway started a moment ago, and against those kept for long when
+// it cannot read the store.
+func TestFirstTable(t *testing.T) {
+	cases := map[string]struct {
+		back   time.Duration // when the store answers, after the start
+		status int
+		most   time.Duration
+	}{
+		"store is back soon": {1100 * time.Millisecond, 200, 2 * time.Second},
+		"store stays away":   {time.Minute, 503, 1100 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withPreparedSite(t, func(s *site) {
+				s.store.Fail(direct.Cut{})
+				time.AfterFunc(tc.back, func() { s.store.Fail(direct.Up{}) })
+			}, func(s *site) {
+				began := time.Now()
+				got := s.call(http.MethodPost, "/draft/a", nil)
+				assert.Equal(t, got.Status, tc.status)
+				assert.Assert(t, time.Since(began) <= tc.most, "%v", time.Since(began))
+			})
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,6 +19,10 @@
 const (
 	// patienceDefault is how long an answer is waited for when neither the caller nor the route says.
 	patienceDefault = 30 * time.Second
+	// tableWait is how long a request waits for the first table after a start, and at most the tablePart-th part of its
+	// caller's patience.
+	tableWait = time.Second
+	tablePart = 4
 	// comeBack is when a caller may come back that was refused for a reason that passes soon.
 	comeBack = 250 * time.Millisecond
 	// comeBackElsewhere is when a caller may come back that another gateway serves.
@@ -97,8 +101,10 @@
 // admit decides whether the request may be served and answers it if not.
 func (q *request) admit() bool {
 	g := q.g
+	q.awaitTable()
 	g.mu.Lock()
 	admission := g.book.Admit(g.boot.Now(), q.call.Host, q.call.Path, q.call.Key)
+	loaded := g.loaded
 	g.mu.Unlock()
 	switch a := admission.(type) {
 	case route.Admitted:
@@ -116,12 +122,37 @@
 		}
 		q.reject(why, errors.Errorf("table %d", a.Version))
 	case route.Unproven:
+		if !loaded {
+			g.log.Info("request refused: no table yet", "request", q.call.ID, "waited-ms", q.elapsed().Milliseconds())
+			q.refuse("no-table", comeBackElsewhere)
+			return false
+		}
 		g.log.Info("request refused: table not proven", "request", q.call.ID, "age-ms", a.Age.Milliseconds())
 		q.refuse("unproven", comeBackElsewhere)
 	}
 	return false
 }
 
+// awaitTable waits for the first table after the start of the gateway, which the first read of the store brings, for a part
+// of the time that the caller has.
+func (q *request) awaitTable() {
+	wait := tableWait
+	if q.call.Patience > 0 {
+		wait = min(wait, q.call.Patience/tablePart)
+	}
+	select {
+	case <-q.g.begun:
+		return
+	default:
+	}
+	select {
+	case <-q.g.begun:
+	case <-q.g.tomb.Dying():
+	case <-q.ctx.Done():
+	case <-q.g.clock.After(wait):
+	}
+}
+
 func (q *request) setDeadline() {
 	patience := q.admitted.Route.Timeout
 	if patience == 0 || q.call.Patience > 0 && q.call.Patience < patience {
