peering, soak: a gateway whose clock was set back is heard after a restart

Cause: the incarnation of a gateway is its time of day at the start, and members took datagrams of a lower one for late ones. After a restart with the clock set back, a gateway was not heard until the others had forgotten it, 3 s after its last datagram; its loads and its part of the limits were missing meanwhile. Found by reading for where the time of day matters, as the soak had no clock faults.

Ruled out: other uses of the time of day (proofs and deadlines go by the steady clocks, ages on the wire are spans).

Change: a lower incarnation counts after 0.6 s of silence. The soak draws at each start of a process how far its clock is off, up to 10 s, through `--clock-offset`.

Before and after: TestClockSetBack failed and passes.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
 	"k8s.io/utils/clock"
@@ -21,6 +22,7 @@
 func newGateway() *cobra.Command {
 	var file, logLevels, traces string
 	var admin netip.AddrPort
+	var offset time.Duration
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run a gateway: the process that serves callers on the users' platform, without sidecars",
@@ -31,6 +33,7 @@
 	s.text(&admin, "admin-listen", takesAddress, "address for metrics and status; none when empty")
 	s.word(&logLevels, "log-levels", "slice=verbosity pairs, such as gateway=1,default=0", "verbosity of the logs by slice")
 	s.word(&traces, "traces", "stdout, file:PATH or an OTLP/HTTP URL", "where spans are exported to; nowhere when empty")
+	s.duration(&offset, "clock-offset", "shift of the time of day that the process sees, to rehearse clocks that are wrong")
 	s.require("settings")
 	checkTelemetry(s, &logLevels, &traces)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -51,7 +54,7 @@
 		defer run.stop()
 		store := platform.NewStore(settings.Store, uptime.Clock{}, nil)
 		defer store.Close()
-		g, err := gateway.Start(settings.Settings, platform.Protocol{}, store,
+		g, err := gateway.Start(settings.Settings, platform.Protocol{}, store, gateway.WithClock(shiftedClock{by: offset}),
 			gateway.WithLogger(run.logs.Logger("gateway")), gateway.WithMetrics(run.metrics), gateway.WithTracer(run.tracer))
 		if err != nil {
 			return err
@@ -64,3 +67,15 @@
 	}
 	return cmd
 }
+
+// shiftedClock is the system's clock with its time of day shifted. Spans of time are not affected.
+type shiftedClock struct {
+	clock.RealClock
+	by time.Duration
+}
+
+// Now returns the shifted time.
+func (c shiftedClock) Now() time.Time { return c.RealClock.Now().Add(c.by) }
+
+// Since returns the time that has passed since t, which is a time of this clock.
+func (c shiftedClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -4,7 +4,6 @@
 package peering
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -32,6 +31,9 @@
 	largeZone    = 16
 	// smallGroup is the number of members up to which all are told at the same pace.
 	smallGroup = 4
+	// pastLife is how late a datagram of a past life may come. After such a silence, a lower incarnation is that of a gateway
+	// that was started with its clock set back.
+	pastLife = 600 * time.Millisecond
 	// seedGap is the pause between two datagrams to a seed, or to a gateway that others name, that is not a member.
 	seedGap = time.Second
 	// The members are probably complete when none has joined for completeQuiet, and at the latest completeMost after the
@@ -50,7 +52,7 @@
 
 // State is what a gateway tells of itself.
 type State struct {
-	// Incarnation rises with each start of the gateway, Sequence with each datagram.
+	// Incarnation rises with each start of the gateway unless its clock is set back, Sequence with each datagram.
 	Incarnation, Sequence uint64
 	// Zone is the zone of the gateway.
 	Zone string
@@ -122,7 +124,7 @@
 		return Stale{}
 	}
 	m := g.members[from]
-	if m != nil && cmp.Or(cmp.Compare(s.Incarnation, m.incarnation), cmp.Compare(s.Sequence, m.sequence)) <= 0 {
+	if m != nil && !m.older(now, s) {
 		return Stale{}
 	}
 	for _, other := range s.Members {
@@ -143,6 +145,14 @@
 	return Fresh{Joined: joined}
 }
 
+// older says whether what is known of a member is older than a state.
+func (m *member) older(now time.Time, s State) bool {
+	if s.Incarnation < m.incarnation {
+		return now.Sub(m.received) > pastLife
+	}
+	return s.Incarnation > m.incarnation || s.Sequence > m.sequence
+}
+
 // introduce remembers a gateway that another one knows. It is a member once it is heard itself.
 func (g *Group) introduce(other netip.AddrPort) {
 	if other == g.self || !other.IsValid() || g.members[other] != nil || slices.Contains(g.seeds, other) {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Guards against a gateway that is not heard after a restart because its clock was set back meanwhile.
+func TestClockSetBack(t *testing.T) {
+	cases := map[string]struct {
+		silence time.Duration
+		fresh   bool
+	}{
+		"late datagram of the past life": {100 * time.Millisecond, false},
+		"started anew":                   {time.Second, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := peering.NewGroup(self, "z", nil)
+			g.Receive(start, other, peering.State{Incarnation: 50, Sequence: 7})
+			_, fresh := g.Receive(start.Add(tc.silence), other, peering.State{Incarnation: 4, Sequence: 1}).(peering.Fresh)
+			assert.Equal(t, fresh, tc.fresh)
+			_, fresh = g.Receive(start.Add(tc.silence), other, peering.State{Incarnation: 4, Sequence: 2}).(peering.Fresh)
+			assert.Equal(t, fresh, tc.fresh, "the next datagram")
+		})
+	}
+}
+
 // Guards against gateways that never learn of each other, that are counted after their end or while they stop, and against
 // datagrams without bound.
 func TestGroup(t *testing.T) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"berylward.example/berylward/platform"
 )
@@ -19,6 +20,8 @@
 	program  string
 	settings string
 	log      *os.File
+	// offset draws how far the clock of the process is off at each start.
+	offset func() time.Duration
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -27,12 +30,12 @@
 }
 
 // newChild writes the settings and opens the log of a gateway under a folder.
-func newChild(program, folder string, s platform.Settings) (*child, error) {
+func newChild(program, folder string, s platform.Settings, offset func() time.Duration) (*child, error) {
 	data, err := platform.EncodeSettings(s)
 	if err != nil {
 		return nil, err
 	}
-	c := &child{name: s.Instance, program: program, settings: filepath.Join(folder, s.Instance+".toml")}
+	c := &child{name: s.Instance, program: program, offset: offset, settings: filepath.Join(folder, s.Instance+".toml")}
 	if err := os.WriteFile(c.settings, data, 0o600); err != nil {
 		return nil, &Error{Op: "start", Kind: KindProcess, Err: err}
 	}
@@ -47,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	command := exec.Command(c.program, "gateway", "--settings", c.settings)
-	command.Env = append(os.Environ(), ChildVariable+"=1")
+	command.Env = append(os.Environ(), ChildVariable+"=1", "BERYLWARD_CLOCK_OFFSET="+c.offset().String())
 	out, err := command.StdoutPipe()
 	if err != nil {
 		return &Error{Op: "start", Kind: KindProcess, Err: err}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,6 +79,7 @@
 const (
 	revokeWithin = 5 * time.Second
 	drainWithin  = 2 * time.Second
+	clockOff     = 10 * time.Second
 	callerHost   = "desk.example"
 	workspace    = "cuenca"
 )
@@ -179,9 +180,9 @@
 		peers = append(peers, s.Peering)
 		settings = append(settings, s)
 	}
-	for _, s := range settings {
+	for i, s := range settings {
 		s.Seeds = peers
-		c, err := newChild(w.Program, w.Folder, s)
+		c, err := newChild(w.Program, w.Folder, s, w.clockOffset(uint64(i)))
 		if err != nil {
 			return err
 		}
@@ -198,6 +199,18 @@
 	return nil
 }
 
+// clockOffset draws how far the clock of a process is off at each of its starts. One that starts with a smaller offset than
+// before has had its clock set back.
+func (w *world) clockOffset(process uint64) func() time.Duration {
+	random := rand.New(rand.NewPCG(w.Seed, 100+process))
+	return func() time.Duration {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.faults["clock off"]++
+		return time.Duration(random.Int64N(int64(clockOff))).Truncate(time.Millisecond)
+	}
+}
+
 func zone(i int) string { return fmt.Sprintf("zone-%d", i%3) }
 
 func (w *world) serve(address netip.AddrPort, handler http.Handler) error {
