dispatch, backend: tests by what they guard

Ruled out: fewer cases; each guards another failure.

Change: the tests of placement stand in place_test.go beside place.go; the pool's dialer that counts is a function.

Conclusion: for reading only.

--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -186,6 +186,16 @@
 	})
 }
 
+// counted returns a pool that counts how many connections it opens, each of which answers two requests.
+func counted(dials *int) *backend.Pool {
+	return backend.NewPool(clock.RealClock{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
+		*dials++
+		near, far := net.Pipe()
+		go script{say(ok), say(ok)}.run(far)
+		return near, nil
+	})
+}
+
 // Guards against a connection that is used after the time for which its backend server keeps it.
 func TestIdle(t *testing.T) {
 	cases := map[string]struct {
@@ -201,12 +211,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				dials := 0
-				pool := backend.NewPool(clock.RealClock{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
-					dials++
-					near, far := net.Pipe()
-					go script{say(ok), say(ok)}.run(far)
-					return near, nil
-				})
+				pool := counted(&dials)
 				for range 2 {
 					x, err := pool.Exchange(t.Context(), plan(), request("b"))
 					assert.NilError(t, err)
@@ -233,12 +238,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				dials := 0
-				pool := backend.NewPool(clock.RealClock{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
-					dials++
-					near, far := net.Pipe()
-					go script{say(ok), say(ok)}.run(far)
-					return near, nil
-				})
+				pool := counted(&dials)
 				p := plan()
 				p.Idle = tc.idle
 				for range 2 {
--- /dev/null
+++ b/internal/dispatch/place_test.go
@@ -0,0 +1,259 @@
+package dispatch_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/dispatch"
+)
+
+// Guards against short prompts that are spread over all engines, or packed beyond what an engine bears, and against long
+// prompts on engines with short ones.
+func TestShortAndLongApart(t *testing.T) {
+	for seed := range uint64(20) {
+		p, list := planner(seed), servers(12)
+		used := map[string]int{}
+		for range 36 {
+			ticket, ids := place(p, short(), list)
+			p.Progress(start, ticket)
+			used[ids[0]]++
+		}
+		assert.Assert(t, len(used) == 3, "seed %d: %v", seed, used)
+		for id, n := range used {
+			assert.Assert(t, n <= 12, "seed %d: %s has %d", seed, id, n)
+		}
+		_, ids := place(p, long(154000), list)
+		assert.Assert(t, len(ids) > 1)
+		for _, id := range ids {
+			assert.Equal(t, used[id], 0, "seed %d: long prompt on an engine with short ones", seed)
+		}
+		// Reading that is outstanding keeps short prompts off those engines, although the others are packed.
+		_, next := place(p, short(), list)
+		assert.Assert(t, !slices.Contains(ids, next[0]), "seed %d", seed)
+	}
+}
+
+// Guards against prompts of one zone whose gateway sends them to other zones, and gateways that all begin with the same
+// engine although they cannot know of each other yet.
+func TestOrderOfItsOwn(t *testing.T) {
+	first := map[string]int{}
+	for seed := range uint64(40) {
+		p, list := planner(seed), servers(12)
+		_, ids := place(p, short(), list)
+		for _, s := range list {
+			if s.ID == ids[0] {
+				assert.Equal(t, s.Zone, "z-0")
+			}
+		}
+		first[ids[0]]++
+	}
+	assert.Assert(t, len(first) == 4, "%v", first)
+}
+
+// Guards against gateways of all zones that send their short prompts to the same few engines, because these have short
+// prompts already, although their own zone has room.
+func TestShortInZone(t *testing.T) {
+	cases := map[string]struct {
+		near, far dispatch.Load // of each engine in the zone and elsewhere
+		inZone    bool
+	}{
+		"zone is empty":           {dispatch.Load{}, dispatch.Load{Short: 1}, true},
+		"zone has room":           {dispatch.Load{Short: 11}, dispatch.Load{Short: 1}, true},
+		"zone is nearly full":     {dispatch.Load{Short: 12}, dispatch.Load{Short: 1}, true},
+		"zone is full":            {dispatch.Load{Short: 15}, dispatch.Load{Short: 1}, false},
+		"zone is full and reads":  {dispatch.Load{Short: 12, Unread: 100 * time.Millisecond}, dispatch.Load{Short: 1}, false},
+		"zone reads long prompts": {dispatch.Load{Long: 1, Unread: time.Second}, dispatch.Load{}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				p, list := planner(seed), servers(12)
+				var loads []dispatch.Load
+				for _, s := range list {
+					l := tc.far
+					if s.Zone == "z-0" {
+						l = tc.near
+					}
+					l.Key = dispatch.KeyOf(s)
+					loads = append(loads, l)
+				}
+				p.SetPeer(start, "other", loads)
+				send, ok := p.Place(start, short(), list, nil).(dispatch.Send)
+				assert.Assert(t, ok)
+				assert.Equal(t, send.Server.Zone == "z-0", tc.inZone, "seed %d: %s", seed, send.Server.Zone)
+			}
+		})
+	}
+}
+
+// Guards against a prompt that holds up all others although it is late already, and against one that is held for ever.
+func TestHold(t *testing.T) {
+	cases := map[string]struct {
+		backlog time.Duration
+		now     time.Time
+		held    bool
+	}{
+		"in time":     {500 * time.Millisecond, start, false},
+		"late":        {4 * time.Second, start, true},
+		"nearly over": {4 * time.Second, start.Add(8 * time.Second), false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := planner(1), servers(4)
+			var loads []dispatch.Load
+			for _, s := range list {
+				loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Unread: tc.backlog})
+			}
+			p.SetPeer(tc.now, "other", loads)
+			_, held := p.Place(tc.now, long(154000), list, nil).(dispatch.Hold)
+			assert.Equal(t, held, tc.held)
+		})
+	}
+}
+
+// Guards against medium prompts that queue behind long ones while engines with short prompts have room for small parts.
+func TestMediumSpills(t *testing.T) {
+	p, list := planner(1), servers(8)
+	var loads []dispatch.Load
+	for i, s := range list {
+		l := dispatch.Load{Key: dispatch.KeyOf(s), Short: 4}
+		if i < 2 {
+			l = dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Unread: 6 * time.Second}
+		}
+		loads = append(loads, l)
+	}
+	p.SetPeer(start, "other", loads)
+	w := long(45000)
+	w.Target = 1500 * time.Millisecond
+	joint, ok := p.Place(start, w, list, nil).(dispatch.Joint)
+	assert.Assert(t, ok)
+	for _, s := range joint.Servers {
+		assert.Assert(t, s.ID != "i-0" && s.ID != "i-1")
+	}
+	assert.Assert(t, joint.Part <= 140*time.Millisecond)
+}
+
+// Guards against a prompt beyond one engine's memory without reserved memory, and one within it that takes some.
+func TestReserved(t *testing.T) {
+	cases := map[string]struct {
+		tokens   int64
+		reserved bool
+	}{"small": {100000, false}, "just below": {285000, false}, "beyond": {320000, true}, "twice": {700000, true}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			joint, ok := planner(1).Place(start, long(tc.tokens), servers(20), nil).(dispatch.Joint)
+			assert.Assert(t, ok)
+			assert.Equal(t, joint.Reserved, tc.reserved)
+			assert.Assert(t, len(joint.Servers) <= 16)
+		})
+	}
+}
+
+// Guards against reserved parts that are larger than what an engine has free: they are refused by every engine, again and
+// again, while more engines would hold the prompt.
+func TestReservedPartsFit(t *testing.T) {
+	cases := map[string]struct {
+		tokens int64
+		// used is the memory that each engine has in use, and engines how many there are.
+		used    int64
+		engines int
+		want    string
+	}{
+		"idle engines":          {388000, 0, 20, "joint"},
+		"two nearly full":       {388000, 90000, 2, "joint"},
+		"two too full":          {388000, 200000, 2, "hold"},
+		"one engine":            {388000, 0, 1, "too large"},
+		"more than all engines": {6000000, 0, 20, "too large"},
+		"one of two is avoided": {388000, 0, 2, "hold"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := planner(1), servers(tc.engines)
+			if strings.Contains(name, "avoided") {
+				p.Blame(start, list[0])
+			}
+			var loads []dispatch.Load
+			for _, s := range list {
+				loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Long: 1, Memory: tc.used})
+			}
+			p.SetPeer(start, "other", loads)
+			w := long(tc.tokens)
+			w.Latest = start.Add(time.Hour)
+			switch got := p.Place(start, w, list, nil).(type) {
+			case dispatch.Joint:
+				assert.Equal(t, tc.want, "joint")
+				part := w.Prompt/int64(len(got.Servers)) + tc.used
+				assert.Assert(t, part < engine.MemoryTokens, "%d tokens at each of %d engines", part, len(got.Servers))
+			case dispatch.Hold:
+				assert.Equal(t, tc.want, "hold")
+			case dispatch.Nowhere:
+				assert.Equal(t, tc.want, "too large")
+				assert.Equal(t, got.Reason, dispatch.TooLarge)
+			case dispatch.Send:
+				t.Fatal("sent to one engine")
+			}
+		})
+	}
+}
+
+// Guards against a prompt that takes many engines for a second each while all of them write answers to short prompts, or
+// have other reading to do.
+func TestHeavyWaits(t *testing.T) {
+	cases := map[string]struct {
+		load dispatch.Load
+		now  time.Time
+		want string
+	}{
+		"idle engines":          {dispatch.Load{}, start, "joint"},
+		"short requests":        {dispatch.Load{Short: 3}, start, "hold"},
+		"other reading":         {dispatch.Load{Long: 1, Unread: 300 * time.Millisecond}, start, "hold"},
+		"waited for too long":   {dispatch.Load{Short: 3}, start.Add(12 * time.Second), "overloaded"},
+		"reading for too long":  {dispatch.Load{Long: 1, Unread: 300 * time.Millisecond}, start.Add(12 * time.Second), "overloaded"},
+		"answers being written": {dispatch.Load{Long: 1}, start, "joint"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := planner(1), servers(20)
+			var loads []dispatch.Load
+			for _, s := range list {
+				l := tc.load
+				l.Key = dispatch.KeyOf(s)
+				loads = append(loads, l)
+			}
+			p.SetPeer(tc.now, "other", loads)
+			got := ""
+			switch place := p.Place(tc.now, long(450000), list, nil).(type) {
+			case dispatch.Joint:
+				got = "joint"
+			case dispatch.Hold:
+				got = "hold"
+			case dispatch.Nowhere:
+				got = string(place.Reason)
+			case dispatch.Send:
+				got = "send"
+			}
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
+
+// Guards against a heavy prompt that is kept until its caller has no time left to come back.
+func TestHeavyRefusedInTime(t *testing.T) {
+	p, list := planner(1), servers(20)
+	var loads []dispatch.Load
+	for _, s := range list {
+		loads = append(loads, dispatch.Load{Key: dispatch.KeyOf(s), Short: 3})
+	}
+	held := time.Duration(0)
+	for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
+		p.SetPeer(start.Add(at), "other", loads)
+		if _, ok := p.Place(start.Add(at), long(450000), list, nil).(dispatch.Hold); ok {
+			held = at
+		}
+	}
+	assert.Assert(t, held > 3*time.Second && held < 4*time.Second, "held for %v of 12 s", held)
+}
