gateway: a request does not wait for a first read that failed

When the first read fails, the next may take long.

Ruled out: a shorter wait, which would refuse after a kill of all again.

Change: the wait ends with the first read, whatever its outcome.

Before and after: TestFirstTable, store refuses, 1 s and at once.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"berylward.example/berylward/internal/roster"
@@ -37,6 +38,7 @@
 	var failedSince time.Time
 	pause := retryFirst
 	cheap := true
+	endFirst := sync.OnceFunc(func() { close(g.begun) })
 	for ctx.Err() == nil {
 		sent := g.boot.Now()
 		whole := revision == 0
@@ -52,6 +54,7 @@
 			return nil
 		}
 		if err != nil {
+			endFirst()
 			g.metrics.count("store-errors")
 			if g.store.Compacted(err) {
 				g.log.Info("history of the store is gone; reading everything", "revision", revision)
@@ -79,7 +82,9 @@
 			failedSince = time.Time{}
 		}
 		pause = retryFirst
-		if !g.apply(sent, facts, whole) {
+		applied := g.apply(sent, facts, whole)
+		endFirst()
+		if !applied {
 			// The newest table could not be read, so nothing proves the present one; everything is read again.
 			revision, cheap = 0, false
 			if !g.sleep(retryMost) {
@@ -181,10 +186,7 @@
 	}
 	if readable && g.book.Table() != nil {
 		g.book.Prove(sent)
-		if !g.loaded {
-			g.loaded = true
-			close(g.begun)
-		}
+		g.loaded = true
 	}
 	g.mu.Unlock()
 	for _, line := range lines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,7 @@
 	suspects *suspect.Register
 	random   *rand.Rand
 	loaded   bool
-	// begun is closed when the first table is in force.
+	// begun is closed when the first read of the store has ended.
 	begun chan struct{}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,8 +19,8 @@
 const (
 	// patienceDefault is how long an answer is waited for when neither the caller nor the route says.
 	patienceDefault = 30 * time.Second
-	// tableWait is how long a request waits for the first table after a start, and at most the tablePart-th part of its
-	// caller's patience.
+	// tableWait is how long a request waits for the first read of the store after a start, and at most the tablePart-th part of
+	// its caller's patience.
 	tableWait = time.Second
 	tablePart = 4
 	// comeBack is when a caller may come back that was refused for a reason that passes soon.
@@ -133,8 +133,8 @@
 	return false
 }
 
-// awaitTable waits for the first table after the start of the gateway, which the first read of the store brings, for a part
-// of the time that the caller has.
+// awaitTable waits for the end of the first read of the store after the start of the gateway, for a part of the time that the
+// caller has. When that read fails, the next one may take long, and the request is better refused.
 func (q *request) awaitTable() {
 	wait := tableWait
 	if q.call.Patience > 0 {
