peering, route, gateway: gateways tell each other since when the table is proven

Cause: a keyed request is refused 4.5 s after the last proof of the table.

Ruled out: shorter watches, since each call is priced for each gateway; the time of arrival of a datagram as the time of a proof, since it may have waited in a process that was suspended.

Change: a datagram ends with a proof for its recipient: the version of the table, the last stamp of the recipient that the sender had got before it asked the store, and how long after that it asked. The recipient counts the proof from its own stamp, on the clock that counts suspension, if the stamp is of its present life and the version is that in force, and while it has itself read the store within 2.5 s.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -40,7 +40,10 @@
 	cheap := true
 	endFirst := sync.OnceFunc(func() { close(g.begun) })
 	for ctx.Err() == nil {
+		g.mu.Lock()
 		sent := g.boot.Now()
+		g.proofs.Ask(sent)
+		g.mu.Unlock()
 		whole := revision == 0
 		var facts []Fact
 		var next int64
@@ -186,6 +189,7 @@
 	}
 	if readable && g.book.Table() != nil {
 		g.book.Prove(sent)
+		g.proofs.Proved(g.book.Table().Version)
 		g.loaded = true
 	}
 	g.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	roster   *roster.Roster
 	planner  *dispatch.Planner
 	group    *peering.Group
+	proofs   *peering.Proofs
 	repeats  *dispatch.Allowance
 	suspects *suspect.Register
 	random   *rand.Rand
@@ -132,6 +133,7 @@
 	repeats := dispatch.AllowanceLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow}
 	g.repeats = dispatch.NewAllowance(repeats, g.clock.Now(), rand.NewPCG(seed, 4))
 	g.group = peering.NewGroup(s.Peering, s.Zone, s.Seeds)
+	g.proofs = peering.NewProofs()
 	g.incarnation = uint64(g.clock.Now().UnixNano())
 	if err := g.listen(); err != nil {
 		return nil, err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,9 @@
 	// new ones are told.
 	markLimit  = 12
 	markRecent = 3 * time.Second
+	// proofWithin is how lately a gateway must have read the store itself for the table to be proven by others. It covers a
+	// watch without changes and the time in which others ask once more.
+	proofWithin = 2500 * time.Millisecond
 )
 
 // receivePeers is the task that takes datagrams from other gateways.
@@ -34,22 +37,27 @@
 		if !ok {
 			continue
 		}
-		state, err := peering.Decode(buf[:n])
+		state, proof, err := peering.Decode(buf[:n])
 		if err != nil {
 			g.metrics.count("peer-errors")
 			g.log.Error(err, "datagram ignored", "from", from.String())
 			continue
 		}
-		g.receive(udp.AddrPort(), state)
+		g.receive(udp.AddrPort(), state, proof)
 	}
 }
 
-func (g *Gateway) receive(from netip.AddrPort, s peering.State) {
+func (g *Gateway) receive(from netip.AddrPort, s peering.State, proof peering.Proof) {
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	now := g.clock.Now()
 	g.mu.Lock()
 	news := g.group.Receive(now, from, s)
 	if _, ok := news.(peering.Fresh); ok {
+		at := g.boot.Now()
+		g.proofs.Heard(from, s, at)
+		if proof.Incarnation == g.incarnation && g.book.ProveBy(proof.Version, proof.At(), at, proofWithin) {
+			g.metrics.count("peer-proofs")
+		}
 		g.planner.SetPeer(now, from.String(), s.Loads)
 		g.repeats.SetPeer(now, from.String(), s.Usages)
 		g.resize(now)
@@ -86,19 +94,30 @@
 		to := g.group.Due(now, changed)
 		interval = g.group.Interval()
 		var data []byte
+		proofs := make([]peering.Proof, 0, len(to))
 		if len(to) > 0 {
 			data = g.encodeState(now, loads)
 		}
+		for _, address := range to {
+			proofs = append(proofs, g.proofs.For(address))
+		}
+		for _, address := range gone {
+			g.proofs.Forget(address)
+		}
 		g.mu.Unlock()
 		for _, address := range gone {
 			g.log.Info("gateway lost", "address", address.String())
 		}
-		for _, address := range to {
+		for i, address := range to {
 			if data == nil {
 				break
 			}
+			proof, err := peering.EncodeProof(proofs[i])
+			if err == nil {
+				_, err = g.peers.WriteTo(append(data[:len(data):len(data)], proof...), net.UDPAddrFromAddrPort(address))
+			}
 			// A datagram that cannot be sent is replaced by the next one; the count shows it.
-			if _, err := g.peers.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
+			if err != nil {
 				g.metrics.count("peer-errors")
 			}
 		}
@@ -110,7 +129,7 @@
 	sequence, members := g.group.Next(now)
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.stopping.Load() != 0, Members: members, Loads: loads,
-		Usages: g.repeats.Usages(now),
+		Usages: g.repeats.Usages(now), Stamp: uint64(g.boot.Now().UnixMilli()),
 	}
 	if marks := g.suspects.Sample(now, markRecent, markLimit); len(marks) > 0 {
 		encoded, err := suspect.EncodeMarks(marks)
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -53,6 +53,16 @@
 	Loads       []loadMessage
 	Usages      []usageMessage
 	Marks       []byte
+	Stamp       uint64
+}
+
+// proofMessage follows the state in the same datagram, because it differs by recipient.
+type proofMessage struct {
+	_           struct{} `cbor:",toarray"`
+	Version     int64
+	Incarnation uint64
+	Stamp       uint64
+	AfterMS     uint32
 }
 
 type usageMessage struct {
@@ -73,7 +83,7 @@
 	AvoidMS uint32
 }
 
-// Encode returns the datagram for a state. When there are more loads than fit, the largest are sent.
+// Encode returns the first part of a datagram, which holds a state. When there are more loads than fit, the largest are sent.
 func Encode(s State) ([]byte, error) {
 	loads := s.Loads
 	if len(loads) > maxLoads {
@@ -85,7 +95,7 @@
 	}
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
-		Members: s.Members, Marks: s.Marks,
+		Members: s.Members, Marks: s.Marks, Stamp: s.Stamp,
 		Loads: make([]loadMessage, 0, len(loads)),
 	}
 	for _, l := range loads {
@@ -104,20 +114,42 @@
 	return data, nil
 }
 
+// EncodeProof returns the second part of a datagram, which holds what is proven to its recipient.
+func EncodeProof(p Proof) ([]byte, error) {
+	data, err := cbor.Marshal(proofMessage{
+		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, AfterMS: uint32(p.After.Milliseconds()),
+	})
+	if err != nil {
+		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
+	}
+	return data, nil
+}
+
 // Decode reads a datagram.
-func Decode(data []byte) (State, error) {
+func Decode(data []byte) (State, Proof, error) {
 	var m stateMessage
-	if err := cbor.Unmarshal(data, &m); err != nil {
-		return State{}, &Error{Op: "decode", Kind: KindMessage, Err: err}
+	rest, err := cbor.UnmarshalFirst(data, &m)
+	if err != nil {
+		return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: err}
+	}
+	var p proofMessage
+	if err := cbor.Unmarshal(rest, &p); err != nil {
+		return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: err}
+	}
+	if p.AfterMS > maxMilliseconds {
+		return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
+	}
+	proof := Proof{
+		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, After: time.Duration(p.AfterMS) * time.Millisecond,
 	}
 	s := State{
 		Incarnation: m.Incarnation, Sequence: m.Sequence, Zone: m.Zone, Stopping: m.Stopping,
-		Members: m.Members, Marks: m.Marks,
+		Members: m.Members, Marks: m.Marks, Stamp: m.Stamp,
 		Loads: make([]dispatch.Load, 0, len(m.Loads)),
 	}
 	for _, l := range m.Loads {
 		if l.Short > maxCount || l.Long > maxCount || l.UnreadMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
-			return State{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
+			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
 		}
 		s.Loads = append(s.Loads, dispatch.Load{
 			Key: dispatch.Key(l.Key), Short: int(l.Short), Long: int(l.Long),
@@ -127,9 +159,9 @@
 	}
 	for _, u := range m.Usages {
 		if u.Requests > maxCount || u.Repeats > maxCount {
-			return State{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
+			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("field out of range")}
 		}
 		s.Usages = append(s.Usages, dispatch.Usage{Service: dispatch.Key(u.Service), Requests: int(u.Requests), Repeats: int(u.Repeats)})
 	}
-	return s, nil
+	return s, proof, nil
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -65,6 +65,8 @@
 	Usages []dispatch.Usage
 	// Marks are requests that ran when backend servers failed, in the encoding of package suspect.
 	Marks []byte
+	// Stamp is when the state was sent, in milliseconds of a clock of the sender that counts time of suspension.
+	Stamp uint64
 }
 
 type member struct {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -212,12 +212,16 @@
 	state := peering.State{
 		Incarnation: 7, Sequence: 9, Zone: "el-centro", Stopping: true, Members: []netip.AddrPort{seed}, Marks: []byte{1},
 		Loads:  []dispatch.Load{{Key: 3, Short: 2, Long: 1, Unread: 250 * time.Millisecond, Memory: 9000, Avoid: time.Second}},
-		Usages: []dispatch.Usage{{Service: 8, Requests: 90, Repeats: 4}},
+		Usages: []dispatch.Usage{{Service: 8, Requests: 90, Repeats: 4}}, Stamp: 70_000,
 	}
+	proof := peering.Proof{Version: 8, Incarnation: 3, Stamp: 70_000, After: 40 * time.Millisecond}
+	proofData, err := peering.EncodeProof(proof)
+	assert.NilError(t, err)
 	data, err := peering.Encode(state)
 	assert.NilError(t, err)
-	got, err := peering.Decode(data)
+	got, gotProof, err := peering.Decode(append(data, proofData...))
 	assert.NilError(t, err)
+	assert.DeepEqual(t, gotProof, proof)
 	assert.DeepEqual(t, got, state, cmpopts.EquateComparable(netip.AddrPort{}))
 	state.Loads = nil
 	for i := range 500 {
@@ -226,11 +230,12 @@
 	data, err = peering.Encode(state)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < 1400, "%d bytes", len(data))
-	got, err = peering.Decode(data)
+	data = append(data, proofData...)
+	got, _, err = peering.Decode(data)
 	assert.NilError(t, err)
 	assert.Equal(t, got.Loads[0].Unread, 499*time.Second, "the largest loads are kept")
-	for name, broken := range map[string][]byte{"empty": {}, "no array": {0x01}, "cut": data[:40]} {
-		_, err := peering.Decode(broken)
+	for name, broken := range map[string][]byte{"empty": {}, "no array": {0x01}, "cut": data[:40], "no proof": data[:len(data)-len(proofData)]} {
+		_, _, err := peering.Decode(broken)
 		assert.ErrorContains(t, err, "decode", name)
 	}
 }
@@ -241,7 +246,7 @@
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s, err := peering.Decode(data)
+		s, _, err := peering.Decode(data)
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/internal/peering/proofs_test.go
@@ -0,0 +1,64 @@
+package peering_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/peering"
+)
+
+// Guards against a proof that makes a table look newer than it was shown to be: it counts from a stamp that came before the
+// store was asked, however late the datagrams are.
+func TestProofs(t *testing.T) {
+	const stamp = 70_000
+	state := peering.State{Incarnation: 3, Stamp: stamp}
+	later := peering.State{Incarnation: 3, Stamp: stamp + 900}
+	cases := map[string]struct {
+		run  func(p *peering.Proofs)
+		want peering.Proof
+	}{
+		"stamp before the question": {func(p *peering.Proofs) {
+			p.Heard(other, state, start)
+			p.Ask(start.Add(40 * time.Millisecond))
+			p.Proved(8)
+		}, peering.Proof{Version: 8, Incarnation: 3, Stamp: stamp, After: 40 * time.Millisecond}},
+		"newer stamp after the question": {func(p *peering.Proofs) {
+			p.Heard(other, state, start)
+			p.Ask(start.Add(40 * time.Millisecond))
+			p.Heard(other, later, start.Add(900*time.Millisecond))
+			p.Proved(8)
+		}, peering.Proof{Version: 8, Incarnation: 3, Stamp: stamp, After: 40 * time.Millisecond}},
+		"no stamp before the question": {func(p *peering.Proofs) {
+			p.Ask(start)
+			p.Heard(other, state, start.Add(time.Millisecond))
+			p.Proved(8)
+		}, peering.Proof{}},
+		"no answer": {func(p *peering.Proofs) {
+			p.Heard(other, state, start)
+			p.Ask(start.Add(time.Millisecond))
+		}, peering.Proof{}},
+		"old stamp": {func(p *peering.Proofs) {
+			p.Heard(other, state, start)
+			p.Ask(start.Add(time.Minute))
+			p.Proved(8)
+		}, peering.Proof{}},
+		"the last answer holds while the next is awaited": {func(p *peering.Proofs) {
+			p.Heard(other, state, start)
+			p.Ask(start.Add(time.Millisecond))
+			p.Proved(8)
+			p.Heard(other, later, start.Add(900*time.Millisecond))
+			p.Ask(start.Add(time.Second))
+		}, peering.Proof{Version: 8, Incarnation: 3, Stamp: stamp, After: time.Millisecond}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := peering.NewProofs()
+			tc.run(p)
+			assert.DeepEqual(t, p.For(other), tc.want)
+		})
+	}
+	p := peering.Proof{Stamp: stamp, After: 40 * time.Millisecond}
+	assert.Assert(t, p.At().Equal(time.UnixMilli(70_040)))
+}
--- a/internal/route/book.go
+++ b/internal/route/book.go
@@ -47,8 +47,9 @@
 // Book holds the table in force and when it was last proven to be the newest. Its times must come from a clock that
 // counts time in which the instance was suspended. It must be used by one goroutine at a time.
 type Book struct {
-	table  *Table
-	proven time.Time
+	table *Table
+	// proven is when the table was shown to be the newest, own when this gateway itself asked.
+	proven, own time.Time
 	// keyAge is how old a proof may be for a keyed request; zero means no bound.
 	keyAge time.Duration
 }
@@ -68,11 +69,24 @@
 
 // Prove records that the table in force was the newest one at a time.
 func (b *Book) Prove(at time.Time) {
+	if at.After(b.own) {
+		b.own = at
+	}
 	if at.After(b.proven) {
 		b.proven = at
 	}
 }
 
+// ProveBy records that another gateway found a version of the table to be the newest one at a time. It counts only while
+// this gateway has itself proven the table within the time given: the rest of what it believes is only as new as that.
+func (b *Book) ProveBy(version int64, at, now time.Time, within time.Duration) bool {
+	if b.table == nil || b.table.Version != version || at.After(now) || now.Sub(b.own) > within || !at.After(b.proven) {
+		return false
+	}
+	b.proven = at
+	return true
+}
+
 // Table returns the table in force, or nil.
 func (b *Book) Table() *Table { return b.table }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -105,3 +105,31 @@
 	var none *route.Engine
 	assert.Equal(t, none.ReadTime(5000), time.Duration(0))
 }
+
+// Guards against a table that is kept in force by what others prove, although it is another version, the proof lies in the
+// future, or this gateway has not read the store itself for too long.
+func TestProveBy(t *testing.T) {
+	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	cases := map[string]struct {
+		version int64
+		at, now time.Duration
+		taken   bool
+	}{
+		"newer proof":         {7, time.Second, 2 * time.Second, true},
+		"older proof":         {7, -time.Second, time.Second, false},
+		"older version":       {6, time.Second, 2 * time.Second, false},
+		"newer version":       {8, time.Second, 2 * time.Second, false},
+		"from the future":     {7, 3 * time.Second, 2 * time.Second, false},
+		"own read too old":    {7, 3 * time.Second, 4 * time.Second, false},
+		"own read old enough": {7, 2500 * time.Millisecond, 2500 * time.Millisecond, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := route.NewBook(4500 * time.Millisecond)
+			b.Take(&route.Table{Version: 7})
+			b.Prove(at(0))
+			assert.Equal(t, b.ProveBy(tc.version, at(tc.at), at(tc.now), 2500*time.Millisecond), tc.taken)
+			assert.Equal(t, b.Fresh(at(4600*time.Millisecond)), tc.taken)
+		})
+	}
+}
