gateway: the first round of datagrams looks at the members with the lock held

Cause: found by reading. The task that sends the state asked for its first pause before it took the lock, which looks at all members since the pause goes by the zone; the task that receives may add one at the same time, and a map that is read and written at once ends the process.

Ruled out: a test that shows it without timing; the window is the start of one goroutine. The order of the code rules it out now.

Change: the first round comes at once, with the lock held.

Conclusion: nothing else reads the members without the lock.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,7 +84,8 @@
 
 // sendState is the task that sends this gateway's state to the others.
 func (g *Gateway) sendState() error {
-	interval := g.group.Interval()
+	// The members may only be looked at with the lock held, so the first round comes at once.
+	var interval time.Duration
 	for g.sleep(interval) {
 		now := g.clock.Now()
 		g.mu.Lock()
