--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -1,6 +1,7 @@
 // Package peering keeps the group of gateways: who is there, and what each last told of itself. Every gateway sends its
 // whole state in one datagram, so a lost datagram is replaced by the next one and a gateway that ends leaves nothing to
-// clean up. A Group is owned by one gateway, reads no clock and does no input or output.
+// clean up. A datagram ends with a proof for its recipient, which shows since when a routing table is the newest. A Group is
+// owned by one gateway, reads no clock and does no input or output.
 package peering
 
 import (
