gateway, peering, dispatch: read-through

Cause: the answer of a backend server to a stream that is no stream was read up to the bound and sent on as if it were whole when it was longer; the same steps stood in plain.go with the check. In a large group the pause of a member was worked out from all members for each of them. Some names and state had no use.

Ruled out: a change of what is decided; placement, pauses and proofs are the same.

Change: whole answers are read in one place (TestAnswerTooLarge failed for streams, 500 with a body for 502). The pauses are worked out once a round. packing returns one engine. Whether there is a table is asked of the book. Usage reports of gateways that are gone are dropped. Unused reasons, kinds, fields and a condition that always held are gone, and an error that was dropped cannot occur any more.

Checks: none loosened.

Conclusion: the limits of the table on headers and idle time are still decoded and not applied; callers of this platform stay within them.

--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -132,11 +132,13 @@
 func (a *Allowance) Allows(now time.Time, service Key) bool {
 	requests, own := a.window(now, service).sum()
 	repeats := own
-	for _, r := range a.peers {
-		if now.Sub(r.at) <= peerLife {
-			requests += r.usage[service].Requests
-			repeats += r.usage[service].Repeats
+	for gateway, r := range a.peers {
+		if now.Sub(r.at) > peerLife {
+			delete(a.peers, gateway)
+			continue
 		}
+		requests += r.usage[service].Requests
+		repeats += r.usage[service].Repeats
 	}
 	whole := a.whole(now, requests)
 	even := whole / float64(a.gateways)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,8 +84,6 @@
 	AllTried Reason = "all-tried"
 	// AllCold means that those in service are cold and have got what they bear this second.
 	AllCold Reason = "all-cold"
-	// NoMemory means that no engines together have memory for a prompt beyond one engine's.
-	NoMemory Reason = "no-memory"
 	// Overloaded means that the request waited for free engines for as long as it could.
 	Overloaded Reason = "overloaded"
 	// TooLarge means that the prompt exceeds the memory of all engines together.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -177,14 +177,7 @@
 // so that gateways that have not heard of each other's latest sends rarely meet on one engine.
 func (p *Planner) short(w Work, views []view) Placement {
 	slices.SortFunc(views, func(a, b view) int { return cmp.Compare(a.rank, b.rank) })
-	packed, empty, full := p.packing(w, views)
-	best := packed
-	if best < 0 {
-		best = empty
-	}
-	if best < 0 {
-		best = full
-	}
+	best := p.packing(w, views)
 	if best < 0 {
 		best = p.soonest(w, views)
 	}
@@ -192,31 +185,35 @@
 	return Send{Server: v.server, Expected: v.total.Unread + w.Read() + passTime, Seen: v.total}
 }
 
-// packing returns the first engine with short prompts and room for one more, the first without short prompts, and the one
-// with the fewest of those beyond packShare; each is -1 when there is none. Engines of other zones count only when those of
+// packing returns the first engine with short prompts and room for one more, else the first without short prompts, else the
+// one with the fewest of those beyond packShare, and -1 when there is none. Engines of other zones count only when those of
 // the zone have no room: what is known of them is older, and all gateways that find the same few of them would meet there.
-func (p *Planner) packing(w Work, views []view) (packed, empty, full int) {
-	packed, empty, full = -1, -1, -1
+func (p *Planner) packing(w Work, views []view) int {
+	empty, full := -1, -1
 	limit := max(int(packShare*float64(w.Engine.Slots)), 1)
 	most := max(int(fullShare*float64(w.Engine.Slots)), 1)
 	for i := range views {
 		v := &views[i]
 		near := v.server.Zone == p.zone
+		if !near && (empty >= 0 || full >= 0) {
+			break
+		}
 		switch {
-		case !near && (empty >= 0 || full >= 0):
-			return packed, empty, full
 		case v.total.Unread > packUnread || v.requests() >= w.Engine.Slots:
 		case v.total.Short >= limit:
 			if near && v.total.Unread <= fullUnread && v.total.Short <= most && (full < 0 || v.total.Short < views[full].total.Short) {
 				full = i
 			}
 		case v.total.Short > 0:
-			return i, empty, full
+			return i
 		case empty < 0:
 			empty = i
 		}
 	}
-	return packed, empty, full
+	if empty >= 0 {
+		return empty
+	}
+	return full
 }
 
 // soonest returns the engine that will have read a new prompt first.
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -5,13 +5,8 @@
 // ErrorKind classifies an Error of this package.
 type ErrorKind string
 
-// The kinds of errors of this package.
-const (
-	// KindOption means that an option is missing or wrong.
-	KindOption ErrorKind = "option"
-	// KindListen means that an address could not be listened on.
-	KindListen ErrorKind = "listen"
-)
+// KindListen means that an address could not be listened on.
+const KindListen ErrorKind = "listen"
 
 // Error reports a gateway that cannot start.
 type Error struct {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -190,7 +190,6 @@
 	if readable && g.book.Table() != nil {
 		g.book.Prove(sent)
 		g.proofs.Proved(g.book.Table().Version)
-		g.loaded = true
 	}
 	g.mu.Unlock()
 	for _, line := range lines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,6 @@
 	repeats  *dispatch.Allowance
 	suspects *suspect.Register
 	random   *rand.Rand
-	loaded   bool
 	// begun is closed when the first read of the store has ended.
 	begun chan struct{}
 }
@@ -204,7 +203,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.loaded && g.book.Fresh(g.boot.Now())
+	return g.book.Fresh(g.boot.Now())
 }
 
 // Dying is closed when the gateway ends by itself.
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -142,8 +142,6 @@
 	Culprit string
 	// KeepAlive is how long the connection may stay idle; zero when the answer does not say.
 	KeepAlive time.Duration
-	// Closes says that the backend server closes the connection after the answer.
-	Closes bool
 }
 
 // Failure is a failure of a request that the gateway itself reports. It is a sealed interface: Rejected, NotRun and
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/dispatch"
 )
 
@@ -36,6 +37,16 @@
 	if err != nil {
 		return q.lost(a, err)
 	}
+	body, next := q.wholeAnswer(a, x, reply)
+	if next != nil {
+		return next
+	}
+	return q.answered(a, reply, x.Response, body)
+}
+
+// wholeAnswer reads an answer that is sent on as a whole, and records that the request ran. It returns what follows instead
+// when the answer breaks off, is too large, or says that the request did not run.
+func (q *request) wholeAnswer(a *attempt, x *backend.Exchange, reply Reply) ([]byte, step) {
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxPlainAnswer+1))
 	if err == nil && len(body) > maxPlainAnswer {
 		err = errors.New("answer too large")
@@ -43,14 +54,14 @@
 	if err != nil {
 		failure := x.Explain(q.ctx, err)
 		x.Done(false, 0)
-		return q.lost(a, failure)
+		return nil, q.lost(a, failure)
 	}
 	x.Done(true, reply.KeepAlive)
 	if reply.NotRun {
-		return q.refused(a, reply)
+		return nil, q.refused(a, reply)
 	}
 	q.ran = append(q.ran, a.server)
-	return q.answered(a, reply, x.Response, body)
+	return body, nil
 }
 
 // answered decides what follows a whole answer of a backend server that may have run the request.
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -372,3 +372,19 @@
 		})
 	}
 }
+
+// Guards against the beginning of an answer beyond the bound that callers take for the whole.
+func TestAnswerTooLarge(t *testing.T) {
+	for name, path := range map[string]string{"plain": "/look/a", "stream": "/draft/a"} {
+		t.Run(name, func(t *testing.T) {
+			withSite(t, func(s *site) {
+				large := direct.Errors{Size: 16<<20 + 1}
+				s.behave("desk", large, large)
+				s.behave("pool", large, large)
+				got := s.call(http.MethodPost, path, nil)
+				assert.Equal(t, got.Status, 502)
+				assert.Equal(t, len(got.body), 0)
+			})
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -104,7 +104,7 @@
 	q.awaitTable()
 	g.mu.Lock()
 	admission := g.book.Admit(g.boot.Now(), q.call.Host, q.call.Path, q.call.Key)
-	loaded := g.loaded
+	loaded := g.book.Table() != nil
 	g.mu.Unlock()
 	switch a := admission.(type) {
 	case route.Admitted:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,17 +120,10 @@
 
 // streamRefused reads an answer that is no stream.
 func (q *request) streamRefused(a *attempt, x *backend.Exchange, reply Reply) step {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxPlainAnswer))
-	if err != nil {
-		failure := x.Explain(q.ctx, err)
-		x.Done(false, 0)
-		return q.lost(a, failure)
-	}
-	x.Done(true, reply.KeepAlive)
-	if reply.NotRun {
-		return q.refused(a, reply)
+	body, next := q.wholeAnswer(a, x, reply)
+	if next != nil {
+		return next
 	}
-	q.ran = append(q.ran, a.server)
 	if q.delivered {
 		q.tried = append(q.tried, a.server.ID)
 		q.ended(a, dispatch.Errored{})
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -32,9 +32,9 @@
 	largeZone    = 16
 	// smallGroup is the number of members up to which all are told at the same pace.
 	smallGroup = 4
-	// pastLife is how late a datagram of a past life may come. After such a silence, a lower incarnation is that of a gateway
+	// reorderLimit is how late a datagram of an earlier incarnation may come. After such a silence, a lower incarnation is that of a gateway
 	// that was started with its clock set back.
-	pastLife = 600 * time.Millisecond
+	reorderLimit = 600 * time.Millisecond
 	// seedGap is the pause between two datagrams to a seed, or to a gateway that others name, that is not a member.
 	seedGap = time.Second
 	// The members are probably complete when none has joined for completeQuiet, and at the latest completeMost after the
@@ -97,10 +97,9 @@
 // NewGroup returns a group of this gateway alone. Seeds are told of it until they answer.
 func NewGroup(self netip.AddrPort, zone string, seeds []netip.AddrPort) *Group {
 	// Gateways begin at different members, so that they do not name the same ones at a time.
-	text, _ := self.MarshalBinary()
 	return &Group{
 		self: self, zone: zone, seeds: seeds, members: map[netip.AddrPort]*member{},
-		rotation: xxhash.Sum64(text) >> 1,
+		rotation: xxhash.Sum64String(self.String()) >> 1,
 	}
 }
 
@@ -151,7 +150,7 @@
 // older says whether what is known of a member is older than a state.
 func (m *member) older(now time.Time, s State) bool {
 	if s.Incarnation < m.incarnation {
-		return now.Sub(m.received) > pastLife
+		return now.Sub(m.received) > reorderLimit
 	}
 	return s.Incarnation > m.incarnation || s.Sequence > m.sequence
 }
@@ -204,14 +203,11 @@
 	if g.began.IsZero() {
 		g.began = now
 	}
-	strangers := now.Sub(g.seeded) >= seedGap
-	if strangers {
-		g.seeded = now
-	}
+	near, far, idle := g.gaps()
 	for address, m := range g.members {
 		m.pending = m.pending || changed
 		switch known := !m.received.IsZero(); {
-		case known && now.Sub(m.sent) >= g.gap(m), !known && m.sent.IsZero():
+		case known && now.Sub(m.sent) >= g.gap(m, near, far, idle), !known && m.sent.IsZero():
 			m.sent, m.pending = now, false
 			to = append(to, address)
 		case !known && now.Sub(m.sent) >= seedGap:
@@ -219,7 +215,8 @@
 			delete(g.members, address)
 		}
 	}
-	if strangers {
+	if now.Sub(g.seeded) >= seedGap {
+		g.seeded = now
 		for _, seed := range g.seeds {
 			if g.members[seed] == nil && seed != g.self {
 				to = append(to, seed)
@@ -229,17 +226,26 @@
 	return to
 }
 
-// gap returns the pause between two datagrams to a member.
-func (g *Group) gap(m *member) time.Duration {
-	whole := g.groupGap()
-	idle := max(reportGap, whole)
+// gap returns the pause between two datagrams to a member, given those of gaps.
+func (g *Group) gap(m *member, near, far, idle time.Duration) time.Duration {
 	switch {
 	case !m.pending:
 		return idle
-	case m.zone != g.zone && len(g.members) > smallGroup:
-		return min(farGapFactor*whole, idle)
+	case m.zone != g.zone:
+		return far
+	}
+	return near
+}
+
+// gaps returns the pauses between two datagrams to a member of the zone and to another one when something changes, and to
+// any member when nothing does.
+func (g *Group) gaps() (near, far, idle time.Duration) {
+	near = g.Interval()
+	idle = max(reportGap, g.groupGap())
+	if len(g.members) <= smallGroup {
+		return near, near, idle
 	}
-	return g.Interval()
+	return near, min(farGapFactor*g.groupGap(), idle), idle
 }
 
 // groupGap returns the pause by the size of the whole group.
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -142,7 +142,7 @@
 			continue
 		}
 		for _, run := range d.backend.Runs() {
-			if run.At.After(quiet) && run.At.Before(end) && w.clock.Since(d.at) > 0 {
+			if run.At.After(quiet) && run.At.Before(end) {
 				r.add("%s got %s %v after it began to drain", d.backend.Server.ID, run.ID, run.At.Sub(d.at))
 			}
 		}
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -29,8 +29,8 @@
 // Refuses means that requests are refused as not run.
 type Refuses struct{}
 
-// Errors means that requests run and fail.
-type Errors struct{}
+// Errors means that requests run and fail, with a body of Size bytes.
+type Errors struct{ Size int }
 
 // Breaks means that the connection is closed: of a stream in the middle of the event after After, of another answer in the
 // middle of its body.
@@ -199,13 +199,14 @@
 
 // answer writes the answer and returns whether it was written whole.
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, got platform.Received, behavior Behavior) bool {
-	switch behavior.(type) {
+	switch behavior := behavior.(type) {
 	case Hangs:
 		<-r.Context().Done()
 		return false
 	case Errors:
 		w.WriteHeader(http.StatusInternalServerError)
-		return true
+		_, err := w.Write(make([]byte, behavior.Size))
+		return err == nil
 	default:
 	}
 	if b.Events == 0 {
