dispatch: placement of short and long prompts, peer reports and placements in files of their own

Cause: place.go held the placement of plain, short and long requests in 392 lines, dispatch.go the planner, its peers' reports and the placement types in 414.

Change: short.go, long.go, placement.go and peers.go take their parts with their constants.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,71 +40,6 @@
 // ones.
 func (p RequestProfile) Short() bool { return p.PrefillTime() <= maxShortPrefill }
 
-// Placement is the decision on where a request goes. It is a sealed interface: Send, JointPrefill, Hold and NoPlacement
-// are its only implementations.
-//
-//sumtype:decl
-type Placement interface{ placement() }
-
-// Send means that the request goes to one backend server.
-type Send struct {
-	Server *roster.Server
-	// Expected is the predicted time to the first event.
-	Expected time.Duration
-	// Seen is the load of the backend server from all gateways, without this request.
-	Seen Load
-}
-
-// JointPrefill means that several engines prefill a prompt together. Servers[0] receives the request and generates the
-// answer.
-type JointPrefill struct {
-	Servers []*roster.Server
-	// PartTime is the prefill time of each engine.
-	PartTime time.Duration
-	// Reserved means that memory for the prompt must first be reserved at each engine.
-	Reserved bool
-	Expected time.Duration
-	// Seen is the load of Servers[0] from all gateways, without this request.
-	Seen Load
-}
-
-// Hold means that the request would be late wherever it is sent, so requests that can still be on time go first. It
-// must be placed again after Delay.
-type Hold struct {
-	Delay time.Duration
-	// Expected is the predicted time to the first event if the request were sent now.
-	Expected time.Duration
-}
-
-// Reason says why a request cannot be placed.
-type Reason string
-
-// The reasons why a request cannot be placed.
-const (
-	// NoServer means that no backend server of the service accepts new requests.
-	NoServer Reason = "no-server"
-	// AllTried means that every backend server has been tried or has refused the request.
-	AllTried Reason = "all-tried"
-	// AllCold means that all remaining backend servers are cold and have reached their rate limit.
-	AllCold Reason = "all-cold"
-	// Overloaded means that the request has been held for free engines for as long as allowed.
-	Overloaded Reason = "overloaded"
-	// TooLarge means that the prompt needs more memory than the engines of one joint prefill have together.
-	TooLarge Reason = "too-large"
-)
-
-// NoPlacement means that the request cannot be placed now.
-type NoPlacement struct {
-	Reason Reason
-	// RetryAfter is the time after which the caller may try again.
-	RetryAfter time.Duration
-}
-
-func (Send) placement()         {}
-func (JointPrefill) placement() {}
-func (Hold) placement()         {}
-func (NoPlacement) placement()  {}
-
 // PlacementID identifies a placed request until it ends.
 type PlacementID uint64
 
@@ -129,6 +64,14 @@
 	AvoidFor time.Duration
 }
 
+// add adds the counts of another load, or subtracts them with a sign of -1.
+func (l *Load) add(other Load, sign int) {
+	l.Short += sign * other.Short
+	l.Long += sign * other.Long
+	l.PendingPrefill += time.Duration(sign) * other.PendingPrefill
+	l.Memory += int64(sign) * other.Memory
+}
+
 // placedRequest is a request that was placed and has not ended.
 type placedRequest struct {
 	servers []*serverState
@@ -171,18 +114,6 @@
 	candidateBuf []candidate
 }
 
-// peerReport is the last report of one gateway.
-type peerReport struct {
-	receivedAt time.Time
-	loads      []Load
-}
-
-// peerLoad is the load of all other gateways at one backend server, and until when each of them avoids it.
-type peerLoad struct {
-	sum        Load
-	avoidUntil map[string]time.Time
-}
-
 // Option configures a Planner.
 type Option func(*Planner)
 
@@ -239,70 +170,6 @@
 // connections. The rest is for running requests, and for gateways that do not know of each other yet.
 const idleConnectionShare = 0.6
 
-// SetPeerLoads replaces the loads reported by another gateway.
-func (p *Planner) SetPeerLoads(now time.Time, gateway string, loads []Load) {
-	p.removePeer(gateway)
-	p.peers[gateway] = peerReport{receivedAt: now, loads: loads}
-	for _, l := range loads {
-		peer := p.peerLoads[l.Key]
-		if peer == nil {
-			peer = &peerLoad{}
-			p.peerLoads[l.Key] = peer
-		}
-		peer.sum.add(l, 1)
-		if l.AvoidFor > 0 {
-			if peer.avoidUntil == nil {
-				peer.avoidUntil = map[string]time.Time{}
-			}
-			peer.avoidUntil[gateway] = now.Add(l.AvoidFor)
-		}
-	}
-}
-
-// removePeer subtracts the last report of a gateway from the sums and drops it.
-func (p *Planner) removePeer(gateway string) {
-	for _, l := range p.peers[gateway].loads {
-		peer := p.peerLoads[l.Key]
-		if peer == nil {
-			continue // an empty load; its entry was removed with the last load that was not empty
-		}
-		peer.sum.add(l, -1)
-		delete(peer.avoidUntil, gateway)
-		if peer.sum == (Load{}) && len(peer.avoidUntil) == 0 {
-			delete(p.peerLoads, l.Key)
-		}
-	}
-	delete(p.peers, gateway)
-}
-
-// expirePeers removes the gateways whose last report is too old.
-func (p *Planner) expirePeers(now time.Time) {
-	for gateway, r := range p.peers {
-		if now.Sub(r.receivedAt) > peerReportTTL {
-			p.removePeer(gateway)
-		}
-	}
-}
-
-// add adds the counts of another load, or subtracts them with a sign of -1.
-func (l *Load) add(other Load, sign int) {
-	l.Short += sign * other.Short
-	l.Long += sign * other.Long
-	l.PendingPrefill += time.Duration(sign) * other.PendingPrefill
-	l.Memory += int64(sign) * other.Memory
-}
-
-// OldestReportAge returns the age of the oldest report of another gateway that still counts.
-func (p *Planner) OldestReportAge(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, r := range p.peers {
-		if age := now.Sub(r.receivedAt); age <= peerReportTTL {
-			oldest = max(oldest, age)
-		}
-	}
-	return oldest
-}
-
 // Loads returns the outstanding load of this gateway by backend server, and reports whether it has changed since the
 // last call.
 func (p *Planner) Loads(now time.Time) ([]Load, bool) {
--- /dev/null
+++ b/internal/dispatch/long.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSpillPrefill is the longest pending prefill, the new part included, that a long prompt may cause on an
+	// engine with short requests. More would make the streams of these requests late.
+	maxSpillPrefill = 140 * time.Millisecond
+	// targetShare is the share of its target time within which a long prompt should be prefilled. A joint prefill
+	// uses the fewest engines that achieve this.
+	targetShare = 0.35
+	// spillTargetShare is the share of its target time above which a long prompt may use engines with short requests.
+	spillTargetShare = 0.7
+	// maxJointEngines is the largest number of engines that prefill one prompt.
+	maxJointEngines = 16
+	// maxFallbackEngines is how many engines with short requests prefill a long prompt when no other engine is
+	// available.
+	maxFallbackEngines = 3
+	// minPart is the shortest part of a joint prefill; shorter parts save nothing compared with the duration of an
+	// iteration.
+	minPart = 60 * time.Millisecond
+	// A prompt is heavy when its prefill on one engine would take more than heavyPrefillFactor times its target. A
+	// heavy prompt waits until the mean pending prefill is at most maxHeavyMeanPrefill: its prefill time grows with
+	// the square of its length, and its value does not.
+	heavyPrefillFactor  = 2
+	maxHeavyMeanPrefill = 90 * time.Millisecond
+	// maxHeavyHold is how long a heavy prompt, or one that the engines have no memory for, is held before it is
+	// refused, early enough for its caller to try again.
+	maxHeavyHold = 4 * time.Second
+	// maxPart is the longest part of a joint prefill on one engine when more engines are free. Longer parts make the
+	// streams of other long prompts late.
+	maxPart = 400 * time.Millisecond
+	// maxLateBacklog is the pending prefill, plus one iteration, up to which an engine counts as free for a prompt
+	// that is already late.
+	maxLateBacklog = 200 * time.Millisecond
+	// A held request is placed again every holdInterval. It is held only while its first event is expected at least
+	// deadlineMargin before its deadline, or before its target time if every engine has short requests.
+	holdInterval   = 40 * time.Millisecond
+	deadlineMargin = 700 * time.Millisecond
+)
+
+// placeLong prefills a prompt on as few engines as it takes for the first event to be on time, preferably on engines
+// without short requests. engines is the number in service.
+func (p *Planner) placeLong(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.rank, b.rank))
+	})
+	prefill := profile.PrefillTime()
+	tokens := profile.Prompt + profile.Answer
+	reserved := float64(tokens) > plannedMemoryShare*float64(profile.Engine.KVCacheTokens)
+	hasMemory := func(c *candidate, parts int) bool {
+		return !reserved || fits(profile, c, tokens/int64(parts)+ReserveSlack)
+	}
+	isFree := func(c *candidate, parts int) bool { return c.total.Short == 0 && hasMemory(c, parts) }
+	chosen, expected := choosePrefillEngines(prefill, candidates, time.Duration(targetShare*float64(profile.Target)), isFree)
+	if len(chosen) == 0 || expected > time.Duration(spillTargetShare*float64(profile.Target)) {
+		canSpill := func(c *candidate, parts int) bool {
+			return hasMemory(c, parts) && (c.total.Short == 0 || c.total.PendingPrefill+prefill/time.Duration(parts) <= maxSpillPrefill)
+		}
+		if spill, spillExpected := choosePrefillEngines(prefill, candidates, 0, canSpill); len(chosen) == 0 || len(spill) > 0 && spillExpected < expected {
+			chosen, expected = spill, spillExpected
+		}
+	}
+	heavy := prefill > heavyPrefillFactor*profile.Target
+	if len(chosen) == 0 && !heavy {
+		// Every engine has short requests, and the prompt makes some of them late. Using few engines limits how many.
+		slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
+		chosen, expected = choosePrefillEngines(prefill, candidates[:min(len(candidates), maxFallbackEngines)], 0, hasMemory)
+		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
+			return Hold{Delay: holdInterval, Expected: expected}
+		}
+	}
+	if len(chosen) == 0 {
+		return p.placeWithoutMemory(now, profile, tokens, engines)
+	}
+	part := prefill / time.Duration(len(chosen))
+	if heavy && !profile.TargetTime.IsZero() && meanPendingPrefill(candidates) > maxHeavyMeanPrefill {
+		// The engines' time is worth more to shorter prompts.
+		if now.Add(expected+deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
+			return Hold{Delay: holdInterval, Expected: expected}
+		}
+		return NoPlacement{Reason: Overloaded, RetryAfter: retryAfterLarge}
+	}
+	if !profile.TargetTime.IsZero() && now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog &&
+		now.Add(expected+deadlineMargin).Before(profile.Deadline) {
+		return Hold{Delay: holdInterval, Expected: expected}
+	}
+	slices.SortStableFunc(chosen, func(a, b candidate) int { return p.compareAnswerEngines(profile, tokens, &a, &b) })
+	if len(chosen) == 1 && !reserved {
+		return Send{Server: chosen[0].server, Expected: expected, Seen: chosen[0].total}
+	}
+	joint := JointPrefill{PartTime: part, Reserved: reserved, Expected: expected, Seen: chosen[0].total}
+	for i := range chosen {
+		joint.Servers = append(joint.Servers, chosen[i].server)
+	}
+	return joint
+}
+
+// meanPendingPrefill returns the mean pending prefill of the engines.
+func meanPendingPrefill(candidates []candidate) time.Duration {
+	var sum time.Duration
+	for i := range candidates {
+		sum += candidates[i].total.PendingPrefill
+	}
+	return sum / time.Duration(len(candidates))
+}
+
+// placeWithoutMemory decides on a prompt that no set of engines has memory for now. engines is the number in service,
+// which includes engines that are avoided for a while.
+func (p *Planner) placeWithoutMemory(now time.Time, profile RequestProfile, tokens int64, engines int) Placement {
+	maxTokens := plannedMemoryShare * float64(profile.Engine.KVCacheTokens) * float64(min(engines, maxJointEngines))
+	if float64(tokens) > maxTokens {
+		return NoPlacement{Reason: TooLarge, RetryAfter: retryAfterLarge}
+	}
+	if now.Add(deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
+		return Hold{Delay: holdInterval}
+	}
+	return NoPlacement{Reason: Overloaded, RetryAfter: retryAfterLarge}
+}
+
+// compareAnswerEngines orders engines by suitability for generating the answer to a prompt: first those with memory
+// for it, then those without short requests, those in the gateway's zone, and those with the most free memory.
+func (p *Planner) compareAnswerEngines(profile RequestProfile, tokens int64, a, b *candidate) int {
+	return cmp.Or(
+		compareBool(fits(profile, b, tokens), fits(profile, a, tokens)),
+		cmp.Compare(min(a.total.Short, 1), min(b.total.Short, 1)),
+		compareBool(b.server.Zone == p.zone, a.server.Zone == p.zone),
+		cmp.Compare(a.total.Memory, b.total.Memory),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// choosePrefillEngines returns the engines that prefill a prompt together, and when they will finish: the fewest that
+// finish within target with parts of at most maxPart, or else those that finish first. Only engines for which
+// eligible returns true are chosen. The candidates must be sorted by pending prefill.
+func choosePrefillEngines(prefill time.Duration, candidates []candidate, target time.Duration, eligible func(c *candidate, parts int) bool) ([]candidate, time.Duration) {
+	var best []candidate
+	var bestFinish time.Duration
+	chosen := make([]candidate, 0, maxJointEngines)
+	for n := 1; n <= min(len(candidates), maxJointEngines); n++ {
+		part := prefill / time.Duration(n)
+		if n > 1 && part < minPart {
+			break
+		}
+		chosen = chosen[:0]
+		for i := range candidates {
+			if eligible(&candidates[i], n) {
+				chosen = append(chosen, candidates[i])
+			}
+			if len(chosen) == n {
+				break
+			}
+		}
+		if len(chosen) < n {
+			continue
+		}
+		finish := chosen[n-1].total.PendingPrefill + part + iterationTime
+		onTime := finish <= target && part <= maxPart
+		if len(best) == 0 || finish < bestFinish || onTime {
+			best, bestFinish = slices.Clone(chosen), finish
+		}
+		if onTime {
+			break
+		}
+	}
+	return best, bestFinish
+}
--- /dev/null
+++ b/internal/dispatch/placement.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"time"
+
+	"berylward.example/berylward/internal/roster"
+)
+
+// Placement is the decision on where a request goes. It is a sealed interface: Send, JointPrefill, Hold and NoPlacement
+// are its only implementations.
+//
+//sumtype:decl
+type Placement interface{ placement() }
+
+// Send means that the request goes to one backend server.
+type Send struct {
+	Server *roster.Server
+	// Expected is the predicted time to the first event.
+	Expected time.Duration
+	// Seen is the load of the backend server from all gateways, without this request.
+	Seen Load
+}
+
+// JointPrefill means that several engines prefill a prompt together. Servers[0] receives the request and generates the
+// answer.
+type JointPrefill struct {
+	Servers []*roster.Server
+	// PartTime is the prefill time of each engine.
+	PartTime time.Duration
+	// Reserved means that memory for the prompt must first be reserved at each engine.
+	Reserved bool
+	Expected time.Duration
+	// Seen is the load of Servers[0] from all gateways, without this request.
+	Seen Load
+}
+
+// Hold means that the request would be late wherever it is sent, so requests that can still be on time go first. It
+// must be placed again after Delay.
+type Hold struct {
+	Delay time.Duration
+	// Expected is the predicted time to the first event if the request were sent now.
+	Expected time.Duration
+}
+
+// Reason says why a request cannot be placed.
+type Reason string
+
+// The reasons why a request cannot be placed.
+const (
+	// NoServer means that no backend server of the service accepts new requests.
+	NoServer Reason = "no-server"
+	// AllTried means that every backend server has been tried or has refused the request.
+	AllTried Reason = "all-tried"
+	// AllCold means that all remaining backend servers are cold and have reached their rate limit.
+	AllCold Reason = "all-cold"
+	// Overloaded means that the request has been held for free engines for as long as allowed.
+	Overloaded Reason = "overloaded"
+	// TooLarge means that the prompt needs more memory than the engines of one joint prefill have together.
+	TooLarge Reason = "too-large"
+)
+
+// NoPlacement means that the request cannot be placed now.
+type NoPlacement struct {
+	Reason Reason
+	// RetryAfter is the time after which the caller may try again.
+	RetryAfter time.Duration
+}
+
+func (Send) placement()         {}
+func (JointPrefill) placement() {}
+func (Hold) placement()         {}
+func (NoPlacement) placement()  {}
