gateway: reasons of holds, and requests by prompt length and outcome

Change: held names its reason (late, heavy, short-requests, memory) and the mean pending prefill, once for each reason; a prompt that waited for memory alone is refused as no-memory; request ended has held-ms; gateway-prompts counts requests by route, a fixed number of bands of prompt length, and outcome. Placement is unchanged.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -50,11 +50,7 @@
 		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.rank, b.rank))
 	})
 	prefill := profile.PrefillTime()
-	tokens := profile.Prompt + profile.Answer
-	reserved := float64(tokens) > plannedMemoryShare*float64(profile.Engine.KVCacheTokens)
-	hasMemory := func(c *candidate, parts int) bool {
-		return !reserved || fits(profile, c, tokens/int64(parts)+ReserveSlack)
-	}
+	tokens, reserved, hasMemory := profile.Prompt+profile.Answer, profile.reserved(), profile.memoryFilter()
 	isFree := func(c *candidate, parts int) bool { return c.total.Short == 0 && hasMemory(c, parts) }
 	chosen, expected := choosePrefillEngines(prefill, candidates, time.Duration(targetShare*float64(profile.Target)), isFree)
 	if len(chosen) == 0 || expected > time.Duration(spillTargetShare*float64(profile.Target)) {
@@ -71,23 +67,23 @@
 		slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
 		chosen, expected = choosePrefillEngines(prefill, candidates[:min(len(candidates), maxFallbackEngines)], 0, hasMemory)
 		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
-			return Hold{Delay: holdInterval, Expected: expected}
+			return p.hold(HoldShort, candidates, expected)
 		}
 	}
 	if len(chosen) == 0 {
-		return p.placeWithoutMemory(now, profile, tokens, engines)
+		return p.placeWithoutEngines(now, profile, candidates, engines)
 	}
 	part := prefill / time.Duration(len(chosen))
 	if heavy && !profile.TargetTime.IsZero() && meanPendingPrefill(candidates) > maxHeavyMeanPrefill {
 		// The engines' time is worth more to shorter prompts.
 		if now.Add(expected+deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
-			return Hold{Delay: holdInterval, Expected: expected}
+			return p.hold(HoldHeavy, candidates, expected)
 		}
 		return NoPlacement{Reason: Overloaded, RetryAfter: retryAfterLarge}
 	}
 	if !profile.TargetTime.IsZero() && now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog &&
 		now.Add(expected+deadlineMargin).Before(profile.Deadline) {
-		return Hold{Delay: holdInterval, Expected: expected}
+		return p.hold(HoldLate, candidates, expected)
 	}
 	slices.SortStableFunc(chosen, func(a, b candidate) int { return p.compareAnswerEngines(profile, tokens, &a, &b) })
 	if len(chosen) == 1 && !reserved {
@@ -100,6 +96,20 @@
 	return joint
 }
 
+// reserved reports whether a prompt needs more memory than one engine has, so that memory must be reserved at several.
+func (p RequestProfile) reserved() bool {
+	return float64(p.Prompt+p.Answer) > plannedMemoryShare*float64(p.Engine.KVCacheTokens)
+}
+
+// memoryFilter returns a function that reports whether an engine has memory for one of a number of equal parts of a
+// prompt. A prompt that one engine has memory for needs no reservation, and the function is always true.
+func (p RequestProfile) memoryFilter() func(c *candidate, parts int) bool {
+	if !p.reserved() {
+		return func(*candidate, int) bool { return true }
+	}
+	return func(c *candidate, parts int) bool { return fits(p, c, (p.Prompt+p.Answer)/int64(parts)+ReserveSlack) }
+}
+
 // meanPendingPrefill returns the mean pending prefill of the engines.
 func meanPendingPrefill(candidates []candidate) time.Duration {
 	var sum time.Duration
@@ -109,17 +119,26 @@
 	return sum / time.Duration(len(candidates))
 }
 
-// placeWithoutMemory decides on a prompt that no set of engines has memory for now. engines is the number in service,
-// which includes engines that are avoided for a while.
-func (p *Planner) placeWithoutMemory(now time.Time, profile RequestProfile, tokens int64, engines int) Placement {
+func (p *Planner) hold(reason HoldReason, candidates []candidate, expected time.Duration) Hold {
+	return Hold{Reason: reason, Delay: holdInterval, Expected: expected, MeanPending: meanPendingPrefill(candidates)}
+}
+
+// placeWithoutEngines decides on a prompt for which no set of engines is available now. engines is the number in
+// service, which includes engines that are avoided for a while.
+func (p *Planner) placeWithoutEngines(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
+	tokens := profile.Prompt + profile.Answer
 	maxTokens := plannedMemoryShare * float64(profile.Engine.KVCacheTokens) * float64(min(engines, maxJointEngines))
 	if float64(tokens) > maxTokens {
 		return NoPlacement{Reason: TooLarge, RetryAfter: retryAfterLarge}
 	}
+	holdReason, reason := HoldMemory, NoMemory
+	if hasMemory, _ := choosePrefillEngines(profile.PrefillTime(), candidates, 0, profile.memoryFilter()); len(hasMemory) > 0 {
+		holdReason, reason = HoldShort, Overloaded
+	}
 	if now.Add(deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
-		return Hold{Delay: holdInterval}
+		return p.hold(holdReason, candidates, 0)
 	}
-	return NoPlacement{Reason: Overloaded, RetryAfter: retryAfterLarge}
+	return NoPlacement{Reason: reason, RetryAfter: retryAfterLarge}
 }
 
 // compareAnswerEngines orders engines by suitability for generating the answer to a prompt: first those with memory
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -34,10 +34,27 @@
 	Seen Load
 }
 
-// Hold means that the request would be late wherever it is sent, so requests that can still be on time go first. It
-// must be placed again after Delay.
+// HoldReason says why a request is held.
+type HoldReason string
+
+// The reasons why a request is held.
+const (
+	// HoldLate means that the first event would be late, so requests that can still be on time go first.
+	HoldLate HoldReason = "late"
+	// HoldHeavy means that the pending prefill of other prompts leaves no time for a heavy prompt.
+	HoldHeavy HoldReason = "heavy"
+	// HoldShort means that all engines with memory for the prompt have short requests.
+	HoldShort HoldReason = "short-requests"
+	// HoldMemory means that no set of engines has memory for the prompt.
+	HoldMemory HoldReason = "memory"
+)
+
+// Hold means that the request is not sent yet. It must be placed again after Delay.
 type Hold struct {
-	Delay time.Duration
+	Reason HoldReason
+	Delay  time.Duration
+	// MeanPending is the mean pending prefill of the engines.
+	MeanPending time.Duration
 	// Expected is the predicted time to the first event if the request were sent now.
 	Expected time.Duration
 }
@@ -55,6 +72,8 @@
 	AllCold Reason = "all-cold"
 	// Overloaded means that the request has been held for free engines for as long as allowed.
 	Overloaded Reason = "overloaded"
+	// NoMemory means that the request has been held for memory for as long as allowed.
+	NoMemory Reason = "no-memory"
 	// TooLarge means that the prompt needs more memory than the engines of one joint prefill have together.
 	TooLarge Reason = "too-large"
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -92,10 +93,12 @@
 		if wait == 0 {
 			return a
 		}
+		began := q.gateway.clock.Now()
 		select {
 		case <-q.ctx.Done():
 		case <-q.gateway.clock.After(wait):
 		}
+		q.heldTime += q.gateway.clock.Since(began)
 	}
 }
 
@@ -143,11 +146,7 @@
 	switch p := placement.(type) {
 	case dispatch.Hold:
 		q.sends--
-		if !q.held {
-			q.held = true
-			g.metrics.count("held")
-			g.log.Info("held", "request", q.req.ID, "expected-ms", p.Expected.Milliseconds(), "gateways", gateways)
-		}
+		q.recordHold(p, gateways)
 		return nil, p.Delay
 	case dispatch.NoPlacement:
 		q.sends--
@@ -170,6 +169,20 @@
 	return a, 0
 }
 
+// recordHold counts the first hold of a request and logs the first hold for each reason.
+func (q *request) recordHold(h dispatch.Hold, gateways int) {
+	if len(q.holdReasons) == 0 {
+		q.gateway.metrics.count("held")
+	}
+	if slices.Contains(q.holdReasons, h.Reason) {
+		return
+	}
+	q.holdReasons = append(q.holdReasons, h.Reason)
+	q.gateway.metrics.count("held-" + string(h.Reason))
+	q.gateway.log.Info("held", "request", q.req.ID, "reason", string(h.Reason), "expected-ms", h.Expected.Milliseconds(),
+		"mean-unread-ms", h.MeanPending.Milliseconds(), "elapsed-ms", q.elapsed().Milliseconds(), "gateways", gateways)
+}
+
 func serverIDs(servers []*roster.Server) []string {
 	result := make([]string, 0, len(servers))
 	for _, s := range servers {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 // metrics holds counters and latency histograms. It is safe for concurrent use.
 type metrics struct {
 	counters   *expvar.Map
+	prompts    *promptMetrics
 	latencies  *expvar.Map
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
@@ -28,9 +29,11 @@
 
 func newMetrics(m *telemetry.Metrics) *metrics {
 	out := &metrics{counters: new(expvar.Map), latencies: new(expvar.Map), histograms: map[string]*hdrhistogram.Histogram{}}
+	prompts := new(expvar.Map)
 	if m != nil {
-		out.counters, out.latencies = m.Slice("gateway"), m.Slice("gateway-latency-ms")
+		out.counters, out.latencies, prompts = m.Slice("gateway"), m.Slice("gateway-latency-ms"), m.Slice("gateway-prompts")
 	}
+	out.prompts = newPromptMetrics(prompts)
 	return out
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,7 +53,8 @@
 	tried       []string
 	ranOn       []*roster.Server // backend servers that may have run the request
 	sends       int
-	held        bool // the planner has delayed the request in favor of requests that can still meet their target
+	holdReasons []dispatch.HoldReason
+	heldTime    time.Duration
 	delivered   bool // bytes of the response have been sent to the caller
 	outcome     string
 	firstByte   time.Duration
@@ -304,7 +305,11 @@
 	q.gateway.metrics.count("requests")
 	q.gateway.metrics.count("outcome-" + q.outcome)
 	q.gateway.metrics.observe(q.admitted.Route.Name, elapsed)
+	if q.profile.Prompt > 0 {
+		q.gateway.metrics.prompts.record(q.admitted.Route.Name, q.profile.Prompt, q.outcome, q.heldTime)
+	}
 	q.gateway.log.Info("request ended", "request", q.req.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
 		"workspace", q.admitted.Workspace, "table", q.admitted.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
-		"gap-ms", q.longestGap.Milliseconds(), "took-ms", elapsed.Milliseconds(), "prompt", q.profile.Prompt)
+		"gap-ms", q.longestGap.Milliseconds(), "took-ms", elapsed.Milliseconds(), "prompt", q.profile.Prompt,
+		"held-ms", q.heldTime.Milliseconds())
 }
