dispatch: heavy prompts of all gateways queue for a share of the engines' time

Cause: a prompt whose prefill takes over twice its target was sent only while the mean pending prefill of all engines was at most 90 ms. Whatever other prompts had pending counted, so under load it never was; waiting and returning earned nothing. The class of fault: a priority rule without a bound, by which shedding always picks the same requests.

Change: the heavy prompts of all gateways form one queue in the order of arrival; gateways report what they hold and what heavy prefill is pending. A heavy prompt is sent when what is ahead of it fits into the share of the engines' time that the queue needs to be done in 4 s, at least a quarter, at most the heavy part of the long prompts that arrive. A request that arrives is refused at once, whatever the length of its prompt, when the predicted wait of the heavy prompts of its route is over 0.6 of its time.

Why it works: heavy prompts compete only with each other for their share, the oldest first, and refusal no longer depends on length.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,10 @@
 
 // RequestProfile describes the cost and the deadlines of a request.
 type RequestProfile struct {
+	// Service and Route identify the service and the route, which is the kind of request.
+	Service, Route Key
+	// Admitted is set once the request has been sent or held. It is not refused for the length of the queue after that.
+	Admitted bool
 	// Engine is nil for a plain service.
 	Engine *route.Engine
 	// Prompt and Answer are numbers of tokens; Answer is an estimate.
@@ -31,6 +35,8 @@
 	ColdPerSecond float64
 	// Fingerprint is the same for identical requests; zero when this does not matter.
 	Fingerprint uint64
+	// HoldID identifies the request while it is held; zero before.
+	HoldID HoldID
 }
 
 // PrefillTime returns the time that one engine needs to prefill the prompt alone.
@@ -60,6 +66,8 @@
 	// PendingPrefill is the pending prefill time, Memory the number of tokens held in memory.
 	PendingPrefill time.Duration
 	Memory         int64
+	// PendingHeavy is the part of PendingPrefill of heavy prompts.
+	PendingHeavy time.Duration
 	// AvoidFor is the time for which the gateway still avoids the backend server because of failures.
 	AvoidFor time.Duration
 }
@@ -70,6 +78,7 @@
 	l.Long += sign * other.Long
 	l.PendingPrefill += time.Duration(sign) * other.PendingPrefill
 	l.Memory += int64(sign) * other.Memory
+	l.PendingHeavy += time.Duration(sign) * other.PendingHeavy
 }
 
 // placedRequest is a request that was placed and has not ended.
@@ -80,6 +89,7 @@
 	// reserved means that memory is held at each of the servers, and not only at the first.
 	reserved    bool
 	short       bool
+	heavy       bool
 	prefillDone bool
 }
 
@@ -111,6 +121,7 @@
 	peerLoads    map[Key]*peerLoad
 	gateways     int
 	loadsChanged bool
+	queue        longQueue
 	candidateBuf []candidate
 }
 
@@ -127,6 +138,7 @@
 	p := &Planner{
 		zone: zone, random: rand.New(rand.NewPCG(1, 2)), states: map[Key]*serverState{}, requests: map[PlacementID]*placedRequest{},
 		peers: map[string]peerReport{}, peerLoads: map[Key]*peerLoad{}, gateways: 1,
+		queue: newLongQueue(),
 	}
 	for _, o := range options {
 		o(p)
@@ -173,8 +185,8 @@
 // Loads returns the outstanding load of this gateway by backend server, and reports whether it has changed since the
 // last call.
 func (p *Planner) Loads(now time.Time) ([]Load, bool) {
-	changed := p.loadsChanged
-	p.loadsChanged = false
+	changed := p.loadsChanged || p.queue.changed
+	p.loadsChanged, p.queue.changed = false, false
 	loads := make([]Load, 0, len(p.states))
 	for _, st := range p.states {
 		l := st.own
@@ -189,7 +201,7 @@
 // RecordPlacement records that a request is sent as placed. The PlacementID identifies it in calls of RecordProgress
 // and RecordEnd. It is zero for Hold and NoPlacement.
 func (p *Planner) RecordPlacement(now time.Time, profile RequestProfile, place Placement) PlacementID {
-	r := &placedRequest{short: profile.Short(), prefill: profile.PrefillTime()}
+	r := &placedRequest{short: profile.Short(), heavy: profile.heavy(), prefill: profile.PrefillTime()}
 	switch place := place.(type) {
 	case Send:
 		r.servers = []*serverState{p.stateOf(place.Server)}
@@ -208,6 +220,9 @@
 	}
 	for i, st := range r.servers {
 		st.own.PendingPrefill += r.prefill
+		if r.heavy {
+			st.own.PendingHeavy += r.prefill
+		}
 		if i == 0 || r.reserved {
 			st.own.Memory += r.memory
 		}
@@ -254,6 +269,9 @@
 	p.loadsChanged = true
 	for _, st := range r.servers {
 		st.own.PendingPrefill -= r.prefill
+		if r.heavy {
+			st.own.PendingHeavy -= r.prefill
+		}
 	}
 }
 
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -23,14 +23,9 @@
 	// minPart is the shortest part of a joint prefill; shorter parts save nothing compared with the duration of an
 	// iteration.
 	minPart = 60 * time.Millisecond
-	// A prompt is heavy when its prefill on one engine would take more than heavyPrefillFactor times its target. A
-	// heavy prompt waits until the mean pending prefill is at most maxHeavyMeanPrefill: its prefill time grows with
-	// the square of its length, and its value does not.
-	heavyPrefillFactor  = 2
-	maxHeavyMeanPrefill = 90 * time.Millisecond
-	// maxHeavyHold is how long a heavy prompt, or one that the engines have no memory for, is held before it is
+	// maxEngineHold is how long a prompt is held for engines with memory and without short requests before it is
 	// refused, early enough for its caller to try again.
-	maxHeavyHold = 4 * time.Second
+	maxEngineHold = 4 * time.Second
 	// maxPart is the longest part of a joint prefill on one engine when more engines are free. Longer parts make the
 	// streams of other long prompts late.
 	maxPart = 400 * time.Millisecond
@@ -49,23 +44,16 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.rank, b.rank))
 	})
-	prefill := profile.PrefillTime()
-	tokens, reserved, hasMemory := profile.Prompt+profile.Answer, profile.reserved(), profile.memoryFilter()
-	isFree := func(c *candidate, parts int) bool { return c.total.Short == 0 && hasMemory(c, parts) }
-	chosen, expected := choosePrefillEngines(prefill, candidates, time.Duration(targetShare*float64(profile.Target)), isFree)
-	if len(chosen) == 0 || expected > time.Duration(spillTargetShare*float64(profile.Target)) {
-		canSpill := func(c *candidate, parts int) bool {
-			return hasMemory(c, parts) && (c.total.Short == 0 || c.total.PendingPrefill+prefill/time.Duration(parts) <= maxSpillPrefill)
-		}
-		if spill, spillExpected := choosePrefillEngines(prefill, candidates, 0, canSpill); len(chosen) == 0 || len(spill) > 0 && spillExpected < expected {
-			chosen, expected = spill, spillExpected
+	mayWait := !profile.TargetTime.IsZero()
+	position := p.queuePosition(now, profile, candidates)
+	if mayWait {
+		if refusal, refused := refuseForQueue(profile, position); refused {
+			return refusal
 		}
 	}
-	heavy := prefill > heavyPrefillFactor*profile.Target
-	if len(chosen) == 0 && !heavy {
-		// Every engine has short requests, and the prompt makes some of them late. Using few engines limits how many.
-		slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
-		chosen, expected = choosePrefillEngines(prefill, candidates[:min(len(candidates), maxFallbackEngines)], 0, hasMemory)
+	chosen, expected := chooseLongEngines(profile, candidates)
+	if len(chosen) == 0 && !profile.heavy() {
+		chosen, expected = chooseFallbackEngines(profile, candidates)
 		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
 			return p.hold(HoldShort, candidates, expected)
 		}
@@ -73,18 +61,48 @@
 	if len(chosen) == 0 {
 		return p.placeWithoutEngines(now, profile, candidates, engines)
 	}
-	part := prefill / time.Duration(len(chosen))
-	if heavy && !profile.TargetTime.IsZero() && meanPendingPrefill(candidates) > maxHeavyMeanPrefill {
-		// The engines' time is worth more to shorter prompts.
-		if now.Add(expected+deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
-			return p.hold(HoldHeavy, candidates, expected)
+	part := profile.PrefillTime() / time.Duration(len(chosen))
+	if mayWait {
+		if placement, delayed := p.delayHeavy(now, profile, position, candidates, expected); delayed {
+			return placement
+		}
+		late := now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog
+		if late && now.Add(expected+deadlineMargin).Before(profile.Deadline) {
+			return p.hold(HoldLate, candidates, expected)
 		}
-		return NoPlacement{Reason: Overloaded, RetryAfter: retryAfterLarge}
 	}
-	if !profile.TargetTime.IsZero() && now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog &&
-		now.Add(expected+deadlineMargin).Before(profile.Deadline) {
-		return p.hold(HoldLate, candidates, expected)
+	return p.sendLong(profile, chosen, part, expected)
+}
+
+// chooseLongEngines returns the engines without short requests that prefill a prompt soonest and when they will finish,
+// or a set that may include engines with short requests if the parts there are small and the prompt is done sooner.
+func chooseLongEngines(profile RequestProfile, candidates []candidate) ([]candidate, time.Duration) {
+	prefill, hasMemory := profile.PrefillTime(), profile.memoryFilter()
+	isFree := func(c *candidate, parts int) bool { return c.total.Short == 0 && hasMemory(c, parts) }
+	chosen, expected := choosePrefillEngines(prefill, candidates, time.Duration(targetShare*float64(profile.Target)), isFree)
+	if len(chosen) > 0 && expected <= time.Duration(spillTargetShare*float64(profile.Target)) {
+		return chosen, expected
+	}
+	canSpill := func(c *candidate, parts int) bool {
+		return hasMemory(c, parts) && (c.total.Short == 0 || c.total.PendingPrefill+prefill/time.Duration(parts) <= maxSpillPrefill)
 	}
+	spill, spillExpected := choosePrefillEngines(prefill, candidates, 0, canSpill)
+	if len(chosen) == 0 || len(spill) > 0 && spillExpected < expected {
+		return spill, spillExpected
+	}
+	return chosen, expected
+}
+
+// chooseFallbackEngines returns a few engines that prefill a prompt although all have short requests. The prompt makes
+// some of these late; using few engines limits how many. It changes the order of the candidates.
+func chooseFallbackEngines(profile RequestProfile, candidates []candidate) ([]candidate, time.Duration) {
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
+	return choosePrefillEngines(profile.PrefillTime(), candidates[:min(len(candidates), maxFallbackEngines)], 0, profile.memoryFilter())
+}
+
+// sendLong sends a prompt to the chosen engines. The most suitable of them generates the answer.
+func (p *Planner) sendLong(profile RequestProfile, chosen []candidate, part, expected time.Duration) Placement {
+	tokens, reserved := profile.Prompt+profile.Answer, profile.reserved()
 	slices.SortStableFunc(chosen, func(a, b candidate) int { return p.compareAnswerEngines(profile, tokens, &a, &b) })
 	if len(chosen) == 1 && !reserved {
 		return Send{Server: chosen[0].server, Expected: expected, Seen: chosen[0].total}
@@ -119,6 +137,7 @@
 	return sum / time.Duration(len(candidates))
 }
 
+// hold returns the decision to hold a request.
 func (p *Planner) hold(reason HoldReason, candidates []candidate, expected time.Duration) Hold {
 	return Hold{Reason: reason, Delay: holdInterval, Expected: expected, MeanPending: meanPendingPrefill(candidates)}
 }
@@ -135,7 +154,7 @@
 	if hasMemory, _ := choosePrefillEngines(profile.PrefillTime(), candidates, 0, profile.memoryFilter()); len(hasMemory) > 0 {
 		holdReason, reason = HoldShort, Overloaded
 	}
-	if now.Add(deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxHeavyHold-profile.Target)) {
+	if now.Add(deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxEngineHold-profile.Target)) {
 		return p.hold(holdReason, candidates, 0)
 	}
 	return NoPlacement{Reason: reason, RetryAfter: retryAfterLarge}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -51,6 +51,7 @@
 		}
 	}
 	delete(p.peers, gateway)
+	delete(p.queue.peers, gateway)
 }
 
 // expirePeers removes the gateways whose last report is too old.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,7 @@
 	for {
 		a, wait := q.placeOnce()
 		if wait == 0 {
+			q.endHold()
 			return a
 		}
 		began := q.gateway.clock.Now()
@@ -121,8 +122,7 @@
 	var placement dispatch.Placement = dispatch.NoPlacement{}
 	var placementID dispatch.PlacementID
 	if ok && !quarantined && withinBudget {
-		placement = g.planner.Place(now, q.currentProfile(), g.roster.InService(q.service), q.tried)
-		placementID = g.planner.RecordPlacement(now, q.profile, placement)
+		placement, placementID = q.place(now)
 		if placementID != 0 && q.sends > 0 {
 			g.retries.TryRetry(now, service)
 		}
@@ -169,6 +169,32 @@
 	return a, 0
 }
 
+// place asks the planner for a placement and records it. It must be called with the gateway's lock held.
+func (q *request) place(now time.Time) (dispatch.Placement, dispatch.PlacementID) {
+	planner, profile := q.gateway.planner, q.currentProfile()
+	placement := planner.Place(now, profile, q.gateway.roster.InService(q.service), q.tried)
+	switch p := placement.(type) {
+	case dispatch.Hold:
+		q.profile.Admitted = true
+		q.holdID = planner.RecordHold(profile, p)
+	case dispatch.Send, dispatch.JointPrefill:
+		q.profile.Admitted = true
+	case dispatch.NoPlacement:
+	}
+	return placement, planner.RecordPlacement(now, q.profile, placement)
+}
+
+// endHold records that the request is not held any more.
+func (q *request) endHold() {
+	if q.holdID == 0 {
+		return
+	}
+	q.gateway.mu.Lock()
+	q.gateway.planner.EndHold(q.holdID)
+	q.gateway.mu.Unlock()
+	q.holdID = 0
+}
+
 // recordHold counts the first hold of a request and logs the first hold for each reason.
 func (q *request) recordHold(h dispatch.Hold, gateways int) {
 	if len(q.holdReasons) == 0 {
@@ -195,6 +221,7 @@
 // the response, because the caller is waiting for the next event.
 func (q *request) currentProfile() dispatch.RequestProfile {
 	profile := q.profile
+	profile.HoldID = q.holdID
 	if q.delivered {
 		profile.TargetTime, profile.Deadline = time.Time{}, time.Time{}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,7 +55,8 @@
 	sends       int
 	holdReasons []dispatch.HoldReason
 	heldTime    time.Duration
-	delivered   bool // bytes of the response have been sent to the caller
+	holdID      dispatch.HoldID // zero unless the request is in the queue of heavy prompts
+	delivered   bool            // bytes of the response have been sent to the caller
 	outcome     string
 	firstByte   time.Duration
 	// longestGap is the longest pause between two events sent to the caller; lastEvent is when the last one was sent.
@@ -207,9 +208,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q.service = q.chooseService()
+	q.profile.Service, q.profile.Route = dispatch.ServiceKey(q.service), dispatch.RouteKey(q.admitted.Route.Name)
 	q.profile.Target = q.admitted.Route.Target
 	q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
 	q.profile.Deadline = q.latestFirstEvent()
+	// The caller of a resumed stream has a part of the answer already.
+	q.profile.Admitted = q.req.Resumes
 	if s := g.currentTable.Table().Service(q.service); s != nil {
 		q.profile.ColdPerSecond, q.idleLimit = s.ColdRate, g.planner.MaxIdleConnections(s.MaxConnections)
 		if p := q.req.Prompt; p != nil && s.Engine != nil {
@@ -219,6 +223,7 @@
 			}
 		}
 	}
+	g.planner.RecordArrival(g.clock.Now(), q.profile)
 	q.fingerprint = suspect.NewFingerprint(q.admitted.Workspace, q.req.Method+" "+q.req.Target, suspect.BodyDigest(q.body))
 	g.retries.Request(g.clock.Now(), dispatch.ServiceKey(q.service))
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -67,6 +67,9 @@
 	// Members lists some of the other gateways that the sender knows.
 	Members []netip.AddrPort
 	Loads   []dispatch.Load
+	// Held are the heavy prompts that the gateway holds, Offered the long prompts that have arrived at it by service.
+	Held    []dispatch.HeldPrompt
+	Offered []dispatch.OfferedPrefill
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// CrashMarks identify requests that were running when backend servers failed, in the encoding of package suspect.
