dispatch: long prompts prefer idle engines that generate no answer to another long prompt

What callers saw: pauses of over 600 ms in digests and reviews while other engines were idle.

Cause: idle engines were ordered by pending prefill and then by the gateway's own order. Most have no pending prefill, so a prefill was put on engines that generate answers as readily as on engines that do nothing, and pauses these answers.

Change: among engines with the same pending prefill those with fewer long requests come first.

Evidence: TestLongAvoidsGeneratingEngines fails without the change.

Why it works: an idle engine prefills as fast, and nobody waits for it.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -42,7 +42,8 @@
 // without short requests. engines is the number in service.
 func (p *Planner) placeLong(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.rank, b.rank))
+		// A prefill pauses the answers that its engine generates.
+		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.total.Long, b.total.Long), cmp.Compare(a.rank, b.rank))
 	})
 	mayWait := !profile.TargetTime.IsZero()
 	position := p.queuePosition(now, profile, candidates)
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -90,7 +90,29 @@
 	}
 }
 
-// Guards against a late prompt that delays all others, and against one that is held forever.
+// Guards against a long prompt that pauses the answers to other long prompts while engines without any are idle.
+func TestLongAvoidsGeneratingEngines(t *testing.T) {
+	for seed := range uint64(20) {
+		p, list := newPlanner(seed), newServers(12)
+		generating := map[string]bool{}
+		var loads []dispatch.Load
+		for i, s := range list {
+			if i%2 == 0 {
+				generating[s.ID] = true
+				loads = append(loads, dispatch.Load{Key: dispatch.BackendKey(s), Long: 1})
+			}
+		}
+		p.SetPeerLoads(start, "other", loads)
+		_, ids := placeAndRecord(p, longProfile(100000), list)
+		assert.Assert(t, len(ids) > 0)
+		for _, id := range ids {
+			assert.Assert(t, !generating[id], "seed %d: %v", seed, ids)
+		}
+	}
+}
+
+// Guards against a late prompt that delays all others, and against one that is held until one more prompt in front of it
+// makes it miss its deadline.
 func TestHold(t *testing.T) {
 	cases := map[string]struct {
 		backlog time.Duration
