dispatch: late prompts are held only while one more prompt may be sent before them

What callers saw: long prompts that were held for lateness until the last moment, and then failed at their deadline or were refused after 8 to 12 s.

Cause: a late prompt is held while its first event is expected 700 ms before its deadline. The expectation jumps by a whole part when a prompt of another gateway gets in front, which takes up to some seconds for the longest.

Change: the time of one more part of its own length must remain.

Evidence: the case 'no time for another such part' of TestHold fails without the change.

Why it works: parts of heavy prompts are of about the same length, so one that gets in front no longer makes the held one too late.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -33,7 +33,8 @@
 	// that is already late.
 	maxLateBacklog = 200 * time.Millisecond
 	// A held request is placed again every holdInterval. It is held only while its first event is expected at least
-	// deadlineMargin before its deadline, or before its target time if every engine has short requests.
+	// deadlineMargin before its deadline even if one more prompt like it is sent first, or at least deadlineMargin
+	// before its target time if every engine has short requests.
 	holdInterval   = 40 * time.Millisecond
 	deadlineMargin = 700 * time.Millisecond
 )
@@ -68,7 +69,7 @@
 			return placement
 		}
 		late := now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog
-		if late && now.Add(expected+deadlineMargin).Before(profile.Deadline) {
+		if late && now.Add(expected+part+deadlineMargin).Before(profile.Deadline) {
 			return p.hold(HoldLate, candidates, expected)
 		}
 	}
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -122,6 +122,8 @@
 		"in time":           {500 * time.Millisecond, start, false},
 		"late":              {4 * time.Second, start, true},
 		"near the deadline": {4 * time.Second, start.Add(8 * time.Second), false},
+		// Its own part takes 763 ms and the first event is expected 1,177 ms before the deadline.
+		"no time for another such part": {4 * time.Second, start.Add(6 * time.Second), false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
