gateway: a failed reservation of memory is no retry

What callers saw: prompts beyond one engine's memory refused as retry-budget, with 2 s of hold behind them, although no backend server had got the request.

Cause: each placement after the first needed the retry budget and used it up. For a prompt whose memory must be reserved at several engines, the first placement may end with an order that one engine refused or did not answer, so nothing was sent. While engines are replaced, the budget is short, and the longest prompts reserve at up to 16 engines.

Change: the budget applies once the request has been passed to a connection of a backend server. The number of placements stays bounded by maxSends.

Evidence: TestReservationIsNoRetry failed (503, refused-retry-budget), passes now.

Why it works: an order asks an engine for memory and runs nothing, so it adds no load that the budget is there to limit.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,12 +118,12 @@
 	status := g.suspects.Check(now, q.fingerprint)
 	_, quarantined := status.(suspect.Quarantined)
 	service := dispatch.ServiceKey(q.service)
-	withinBudget := q.sends == 0 || g.retries.Allows(now, service)
+	withinBudget := !q.exchanged || g.retries.Allows(now, service)
 	var placement dispatch.Placement = dispatch.NoPlacement{}
 	var placementID dispatch.PlacementID
 	if ok && !quarantined && withinBudget {
 		placement, placementID = q.place(now)
-		if placementID != 0 && q.sends > 0 {
+		if placementID != 0 && q.exchanged {
 			g.retries.TryRetry(now, service)
 		}
 	}
@@ -294,6 +294,7 @@
 	if plain {
 		options.DialTimeout = min(dialTimeoutPlain, remaining)
 	}
+	q.exchanged = true
 	ctx, span := g.tracer.Start(q.ctx, "attempt", trace.WithAttributes(attribute.String("backend", a.server.ID)))
 	defer span.End()
 	x, err := g.pool.Exchange(ctx, options, g.protocol.EncodeAttempt(&q.req, q.body, encoded))
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -292,6 +292,22 @@
 	})
 }
 
+// Guards against refusing a prompt for the retry budget although only memory was asked for and no backend server has
+// received the request.
+func TestReservationIsNoRetry(t *testing.T) {
+	withPreparedHarness(t, func(h *harness) {
+		h.retryReserve = 0
+		h.addBackend("pool", 5)
+		h.setFaults("pool", direct.RefusesLeases{})
+	}, func(h *harness) {
+		got := h.call(http.MethodPost, "/review/a", func(c *gateway.CallerRequest) {
+			c.Timeout, c.Prompt = 15*time.Second, &gateway.Prompt{Tokens: 400000, MaxOutputTokens: 500}
+		})
+		assert.Equal(t, got.Status, 200)
+		assert.Equal(t, len(h.runs(got.id)), 1)
+	})
+}
+
 // Guards against a gateway that stays ready and serves keyed requests although its table has not been proven for too
 // long.
 func TestStoreOutage(t *testing.T) {
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -15,7 +15,7 @@
 )
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, Errors, ClosesEarly, Unsigned and WrongID are its only implementations.
+// Refuses, RefusesLeases, Errors, ClosesEarly, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -29,6 +29,9 @@
 // Refuses means that requests are refused as not run.
 type Refuses struct{}
 
+// RefusesLeases means that orders to reserve memory are refused.
+type RefusesLeases struct{}
+
 // Errors means that requests run and are answered with status 500 and a body of Size bytes.
 type Errors struct{ Size int }
 
@@ -42,13 +45,14 @@
 // WrongID means that responses carry the identifier of another request.
 type WrongID struct{}
 
-func (NoFault) serverFault()      {}
-func (NeverAnswers) serverFault() {}
-func (Refuses) serverFault()      {}
-func (Errors) serverFault()       {}
-func (ClosesEarly) serverFault()  {}
-func (Unsigned) serverFault()     {}
-func (WrongID) serverFault()      {}
+func (NoFault) serverFault()       {}
+func (NeverAnswers) serverFault()  {}
+func (Refuses) serverFault()       {}
+func (RefusesLeases) serverFault() {}
+func (Errors) serverFault()        {}
+func (ClosesEarly) serverFault()   {}
+func (Unsigned) serverFault()      {}
+func (WrongID) serverFault()       {}
 
 // Run is one request that a backend server has run.
 type Run struct {
@@ -148,6 +152,10 @@
 		return
 	}
 	if request.Order != nil {
+		if _, refuses := fault.(RefusesLeases); refuses && !request.Order.Release {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
 		b.handleOrder(w, *request.Order)
 		return
 	}
