gateway: an attempt after which nothing may be sent is not cut for its silence

Cause: whether an attempt is the last was asked when it began. By the end of its wait its key may be withdrawn, its prompt quarantined or every other backend server gone, and then cutting it can only lose the answer. Plain requests were cut without asking at all.

Change: at the end of each wait the gateway asks whether the request could be sent to another backend server now, and if not waits on, until the deadline.

Why it works: the decision uses the state at the time at which it matters.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -247,6 +247,11 @@
 func (q *request) attemptsLeft() int {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
+	return q.countAttemptsLeft()
+}
+
+// countAttemptsLeft is attemptsLeft for callers that hold the gateway's lock.
+func (q *request) countAttemptsLeft() int {
 	remaining := q.admitted.Route.MaxAttempts
 	for _, s := range q.ranOn {
 		if q.gateway.roster.StillInService(s) {
@@ -256,6 +261,24 @@
 	return remaining
 }
 
+// maySendElsewhere reports whether the request could be sent to another backend server if a running attempt, which may
+// have run, ended now. It must be called with the gateway's lock held.
+func (q *request) maySendElsewhere(now time.Time, a *attempt) bool {
+	g := q.gateway
+	if q.sends >= maxSends || !q.admitted.Route.Idempotent() || !g.retries.Allows(now, dispatch.ServiceKey(q.service)) {
+		return false
+	}
+	left := q.countAttemptsLeft()
+	if g.roster.StillInService(a.server) {
+		left--
+	}
+	_, admitted := g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
+	_, quarantined := g.suspects.Check(now, q.fingerprint).(suspect.Quarantined)
+	return left > 0 && admitted && !quarantined && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
+		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID)
+	})
+}
+
 // mayRetry reports whether the request may be sent again after it may have run on the backend servers in q.ranOn.
 func (q *request) mayRetry() bool {
 	if q.sends >= maxSends || q.ctx.Err() != nil {
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -115,6 +115,46 @@
 	}
 }
 
+// Guards against an attempt that is cut for its silence although the request could not be sent to another backend server.
+func TestLastAttemptNotCut(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	cases := map[string]struct {
+		path, service string
+		// change makes further attempts impossible while the first one is silent.
+		change func(*harness)
+		body   func(id string) string
+	}{
+		"key withdrawn": {"/draft/a", "pool", func(h *harness) { h.publish(map[string]string{}, testRoutes) },
+			func(id string) string { return expectedStream(id, 1, 5) }},
+		"other backend servers draining": {"/draft/a", "pool", func(h *harness) {
+			for _, b := range h.backends {
+				h.putServer(b, b.Server.Service == "pool" && len(b.Runs()) == 0)
+			}
+		}, func(id string) string { return expectedStream(id, 1, 5) }},
+		"plain, other backend servers draining": {"/look/a", "desk", func(h *harness) {
+			for _, b := range h.backends {
+				h.putServer(b, b.Server.Service == "desk" && len(b.Runs()) == 0)
+			}
+		}, direct.Body},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.setFaults(tc.service, direct.Pauses{After: 2, For: pause}, direct.Pauses{After: 2, For: pause})
+				go func() {
+					time.Sleep(150 * time.Millisecond)
+					tc.change(h)
+				}()
+				got := h.call(http.MethodPost, tc.path, func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
+				assert.Equal(t, got.Status, 200)
+				assert.Assert(t, got.complete)
+				assert.Equal(t, got.body, tc.body(got.id))
+				assert.Equal(t, len(h.runs(got.id)), 1)
+			})
+		})
+	}
+}
+
 // Guards against requests admitted or denied wrongly, and denials with the wrong status.
 func TestAdmission(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/pkg/answer"
 )
 
@@ -38,9 +39,11 @@
 	})
 }
 
-// extendFunc returns the function that decides whether to wait longer for a silent attempt. It waits longer while the
-// backend server makes progress with other requests, or when the request cannot be sent again.
+// extendFunc returns the function that decides, at the end of each wait for a silent attempt, whether to wait longer. It
+// waits longer if the request could not be sent again, and for a stream also while the backend server makes progress
+// with other requests.
 func (q *request) extendFunc(a *attempt) func() time.Duration {
+	isStream := q.admitted.Route.Kind == route.Stream
 	return func() time.Duration {
 		g := q.gateway
 		now := g.clock.Now()
@@ -50,7 +53,7 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if a.last || g.planner.MadeProgress(now, a.placementID) || !g.retries.Allows(now, dispatch.ServiceKey(q.service)) {
+		if !q.maySendElsewhere(now, a) || isStream && g.planner.MadeProgress(now, a.placementID) {
 			return min(extendInterval, remaining)
 		}
 		return 0
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -15,7 +15,7 @@
 )
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, RefusesLeases, Errors, ClosesEarly, Unsigned and WrongID are its only implementations.
+// Refuses, RefusesLeases, Errors, ClosesEarly, Pauses, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -39,6 +39,12 @@
 // or, for other responses, in the middle of the body.
 type ClosesEarly struct{ After int }
 
+// Pauses means that the response pauses for a time: after event number After, or, for other responses, before it begins.
+type Pauses struct {
+	After int
+	For   time.Duration
+}
+
 // Unsigned means that responses have no signature.
 type Unsigned struct{}
 
@@ -51,6 +57,7 @@
 func (RefusesLeases) serverFault() {}
 func (Errors) serverFault()        {}
 func (ClosesEarly) serverFault()   {}
+func (Pauses) serverFault()        {}
 func (Unsigned) serverFault()      {}
 func (WrongID) serverFault()       {}
 
@@ -229,6 +236,9 @@
 	if !b.waitStep(r) {
 		return false
 	}
+	if pauses, ok := fault.(Pauses); ok && !b.wait(r, pauses.For) {
+		return false
+	}
 	body := Body(request.ID)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	if _, ok := fault.(ClosesEarly); ok {
@@ -244,6 +254,9 @@
 func (b *Backend) answerStream(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := int(request.ResumeAfter) + 1; n <= b.Events; n++ {
+		if pauses, ok := fault.(Pauses); ok && n == pauses.After+1 && !b.wait(r, pauses.For) {
+			return false
+		}
 		if !b.waitStep(r) {
 			return false
 		}
@@ -266,9 +279,12 @@
 }
 
 // waitStep waits for one step. It reports whether the connection stayed open for the whole step.
-func (b *Backend) waitStep(r *http.Request) bool {
+func (b *Backend) waitStep(r *http.Request) bool { return b.wait(r, b.StepTime) }
+
+// wait waits for a time. It reports whether the connection stayed open for all of it.
+func (b *Backend) wait(r *http.Request, d time.Duration) bool {
 	select {
-	case <-b.clock.After(b.StepTime):
+	case <-b.clock.After(d):
 		return true
 	case <-r.Context().Done():
 		return false
