gateway: a cold backend server is limited by the gateway's own clock

Cause: the client of the store was given the clock of the time since boot and made ColdUntil a time of that clock, in 1970. The planner compares it with the gateway's clock, so no backend server ever counted as cold.

Change: an update carries how long the backend server stays cold; the gateway, which owns the clock, makes a time of it. The client of the store has no clock any more, and ColdUntil says whose time it is.

Evidence: TestColdBackendServer (19 of 40 requests would be an even share, 3 a second are allowed) covers the path from the entry to the placement, which only unit tests with a common clock covered before.

Why it works: the two times that are compared come from one clock.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -10,7 +10,6 @@
 	"github.com/spf13/cobra"
 	"k8s.io/utils/clock"
 
-	"berylward.example/berylward/internal/bootclock"
 	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/telemetry"
 	"berylward.example/berylward/platform"
@@ -52,7 +51,7 @@
 			return err
 		}
 		defer instr.stop()
-		store := platform.NewStore(settings.Store, bootclock.Clock{}, nil)
+		store := platform.NewStore(settings.Store, nil)
 		defer store.Close()
 		g, err := gateway.Start(settings.Settings, platform.Protocol{}, store, gateway.WithClock(shiftedClock{offset: offset}),
 			gateway.WithLogger(instr.logs.Logger("gateway")), gateway.WithMetrics(instr.metrics), gateway.WithTracer(instr.tracer))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,6 +28,8 @@
 	callerKey  = "key-of-cuenca"
 	workspace  = "cuenca"
 	callerHost = "desk.example"
+	// coldRate is the limit of requests per second to a cold backend server of the service desk.
+	coldRate = 3
 )
 
 var (
@@ -108,7 +110,7 @@
 		storeListener := h.listen(storeAddress, h.store)
 		callers, ready := standin.NewMemoryListener(callerAddress), standin.NewMemoryListener(readyAddress)
 		h.client, h.ready = callers.Client(), ready.Client()
-		store := platform.NewStore(storeAddress, h.boot, func(ctx context.Context, network, address string) (net.Conn, error) {
+		store := platform.NewStore(storeAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
 			time.Sleep(h.storeDelay)
 			return storeListener.DialContext(ctx, network, address)
 		})
@@ -182,7 +184,7 @@
 func (h *harness) publish(keys map[string]string, routes []route.Route) {
 	h.version++
 	value, err := platform.EncodeTable(h.version, routes,
-		[]route.Service{{Name: "desk"}, {Name: "pool", Engine: testEngine}}, keys, 1<<20)
+		[]route.Service{{Name: "desk", ColdRate: coldRate}, {Name: "pool", Engine: testEngine}}, keys, 1<<20)
 	assert.NilError(h.test, err)
 	h.store.Put(platform.ConfigKey, value)
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -50,8 +50,11 @@
 	TakenOut bool
 }
 
-// ServerUpdate is the current entry of a backend server.
-type ServerUpdate struct{ Server roster.Server }
+// ServerUpdate is the current entry of a backend server, which stays cold for ColdFor.
+type ServerUpdate struct {
+	Server  roster.Server
+	ColdFor time.Duration
+}
 
 // ServerRemoved means that the entry of a backend server was removed.
 type ServerRemoved struct{ ID string }
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// Guards against more requests to a cold backend server than it can take, because the time until which it is cold was
+// taken from another clock than the time of the request.
+func TestColdBackendServer(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		cold := h.backends[0]
+		h.putEntry(cold.Server, 5*time.Second)
+		time.Sleep(200 * time.Millisecond)
+		for range 40 {
+			assert.Equal(t, h.call(http.MethodGet, "/look/a", nil).Status, 200)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, cold.Arrivals() <= coldRate, "%d requests in 1.2 s", cold.Arrivals())
+		assert.Equal(t, h.backends[1].Arrivals(), 40-cold.Arrivals())
+	})
+}
+
 // Guards against an attempt that is cut for its silence although the request could not be sent to another backend server.
 func TestLastAttemptNotCut(t *testing.T) {
 	const pause = 1500 * time.Millisecond
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -174,10 +174,14 @@
 				changes = append(changes, g.roster.SetZoneOut(u.Name, u.TakenOut))
 			}
 		case ServerUpdate:
+			server := u.Server
+			if u.ColdFor > 0 {
+				server.ColdUntil = now.Add(u.ColdFor)
+			}
 			if full {
-				servers = append(servers, u.Server)
+				servers = append(servers, server)
 			} else {
-				changes = append(changes, g.roster.Put(u.Server))
+				changes = append(changes, g.roster.Put(server))
 			}
 		case ServerRemoved:
 			changes = append(changes, g.roster.Remove(now, u.ID))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,7 +26,8 @@
 	// Slots is the number of requests that the server processes at the same time.
 	Slots    int
 	Draining bool
-	// ColdUntil is when the server becomes warm; zero when it is warm already.
+	// ColdUntil is when the server becomes warm, by the clock of the gateway that holds the entry; zero when it is warm
+	// already.
 	ColdUntil time.Time
 	// StartedAt is when this incarnation started, by the server's clock. It distinguishes incarnations with the same
 	// ID.
