backend: the head of a response is limited

A backend server in trouble may send bytes that are no answer without end, in a head or a body.

Cause: net/http's ReadResponse reads a head without a limit on its size. The read deadline bounds its time, at most to the deadline of the request, but at the speed of the link that is enough to fill an instance's memory.

Change: a response head may have 64 KB; more is reported as malformed, and the connection is closed.

Evidence: TestEndlessHead does not end within 60 s without the limit and passes with it, for one endless line, endless lines, bytes without a status line and endless interim heads.

Why it works: the reader under the connection's buffer counts, so no code of the reader of heads can go beyond the limit.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -35,6 +35,8 @@
 	maxResponseHeads = 2
 	// maxDiscard bounds the bytes of a late response that are read and discarded to reach the next response.
 	maxDiscard = 64 << 10
+	// maxHeadBytes bounds the head of a response, which net/http reads without a limit.
+	maxHeadBytes = 64 << 10
 )
 
 // Dialer opens a connection.
@@ -53,6 +55,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	head      *headLimit
 	address   netip.AddrPort
 	reused    bool
 	expires   time.Time
@@ -290,7 +293,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, 4096), address: options.Address}, nil
+	head := &headLimit{from: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, 4096), head: head, address: options.Address}, nil
 }
 
 // run writes the request and reads the head of its response into x.Response.
@@ -306,6 +310,7 @@
 		return err
 	}
 	for range maxResponseHeads {
+		c.head.begin()
 		if err := x.Wait(options.HeadTimeout, options.Extend); err != nil {
 			return err
 		}
@@ -313,6 +318,7 @@
 		if err != nil {
 			return err
 		}
+		c.head.end()
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
@@ -348,7 +354,7 @@
 	switch {
 	case ctx.Err() != nil:
 		e.Kind = KindCanceled
-	case errors.Is(err, errMismatchedResponse):
+	case errors.Is(err, errMismatchedResponse), x.conn.head.exceeded():
 		e.Kind = KindMalformed
 	case x.bodySent == nil && !x.conn.sentBytes:
 		e.Kind = KindUnsent
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -73,6 +73,50 @@
 	}
 }
 
+// respondForever writes a text and then the same bytes again and again until the connection is closed, and counts what it
+// has written.
+func respondForever(start, repeated string, written *int) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, err := io.WriteString(conn, start)
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, repeated)
+			*written += n
+		}
+		return false
+	}
+}
+
+// Guards against a response head without an end that fills the memory or takes longer than the head may take.
+func TestEndlessHead(t *testing.T) {
+	cases := map[string]struct{ start, repeated string }{
+		"one line":       {"HTTP/1.1 200 OK\r\nId: ", strings.Repeat("x", 1000)},
+		"many lines":     {"HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+		"no status line": {"", strings.Repeat("x", 1000)},
+		"interim heads":  {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, written := time.Now(), 0
+				p := backend.NewPool(clock.RealClock{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
+					client, server := net.Pipe()
+					go script{respondForever(tc.start, tc.repeated, &written)}.run(server)
+					return client, nil
+				})
+				_, err := p.Exchange(t.Context(), options(), request(""))
+				var failure *backend.Error
+				assert.Assert(t, errors.As(err, &failure), "%v", err)
+				assert.Equal(t, failure.Kind, backend.KindMalformed, "%v", err)
+				synctest.Wait()
+				assert.Assert(t, written <= 80<<10, "%d bytes read", written)
+				assert.Assert(t, time.Since(began) <= time.Second)
+			})
+		})
+	}
+}
+
 // Guards against requests that are sent twice, responses to other requests that are accepted, and failures reported as
 // the wrong kind.
 func TestExchange(t *testing.T) {
