gateway: bytes that complete no event do not extend the wait for the next one

A stream whose engine sends bytes without ever completing an event lasts until the deadline.

Cause: each read of some bytes began the wait for the next event anew, so an engine that drips looked alive, although nothing reached the caller.

Change: the wait runs from the last complete event.

Evidence: the case 'bytes without an event' of TestStreams fails without the change: the caller gets no answer from the sound backend server.

Why it works: silence is measured by what the caller gets.

--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -84,6 +84,8 @@
 			body: func(id string) string { return expectedStream(id, 1, 5) }, complete: true, maxRuns: 2},
 		"hangs": {path: "/draft/a", faults: [2]direct.ServerFault{direct.NeverAnswers{}, direct.NoFault{}}, status: 200,
 			body: func(id string) string { return expectedStream(id, 1, 5) }, complete: true, maxRuns: 2},
+		"bytes without an event": {path: "/draft/a", faults: [2]direct.ServerFault{direct.NoEvents{}, direct.NoFault{}}, status: 200,
+			body: func(id string) string { return expectedStream(id, 1, 5) }, complete: true, maxRuns: 2},
 		"breaks on every backend server": {path: "/draft/a", faults: [2]direct.ServerFault{direct.ClosesEarly{After: 1}, direct.ClosesEarly{After: 2}}, status: 200,
 			complete: false, maxRuns: 2},
 		"not resumable": {path: "/once/a", faults: [2]direct.ServerFault{direct.ClosesEarly{After: 0}, direct.ClosesEarly{After: 0}}, status: 502,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -142,8 +142,10 @@
 func (q *request) relay(a *attempt, x *backend.Exchange, events *answer.EventSplitter, wait time.Duration) error {
 	flusher := http.NewResponseController(q.response)
 	buf := make([]byte, readBuffer)
+	// Bytes that complete no event do not extend the wait for the next one.
+	due := q.gateway.clock.Now().Add(wait)
 	for {
-		if err := x.Wait(wait, q.extendFunc(a)); err != nil && !errors.Is(err, io.EOF) {
+		if err := x.Wait(max(due.Sub(q.gateway.clock.Now()), 0), q.extendFunc(a)); err != nil && !errors.Is(err, io.EOF) {
 			return x.WrapError(q.ctx, err)
 		}
 		n, err := x.Response.Body.Read(buf)
@@ -164,7 +166,7 @@
 				if err := flusher.Flush(); err != nil {
 					return errCallerDisconnected
 				}
-				wait = q.gapWait(a)
+				due = now.Add(q.gapWait(a))
 			}
 		}
 		switch {
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -15,7 +15,7 @@
 )
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, RefusesLeases, Errors, ClosesEarly, Pauses, Unsigned and WrongID are its only implementations.
+// Refuses, RefusesLeases, Errors, ClosesEarly, Pauses, NoEvents, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -45,6 +45,9 @@
 	For   time.Duration
 }
 
+// NoEvents means that the stream consists of bytes that complete no event and goes on until the connection is closed.
+type NoEvents struct{}
+
 // Unsigned means that responses have no signature.
 type Unsigned struct{}
 
@@ -58,6 +61,7 @@
 func (Errors) serverFault()        {}
 func (ClosesEarly) serverFault()   {}
 func (Pauses) serverFault()        {}
+func (NoEvents) serverFault()      {}
 func (Unsigned) serverFault()      {}
 func (WrongID) serverFault()       {}
 
@@ -253,6 +257,9 @@
 
 func (b *Backend) answerStream(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if _, ok := fault.(NoEvents); ok {
+		return b.writeNoEvents(w, r)
+	}
 	for n := int(request.ResumeAfter) + 1; n <= b.Events; n++ {
 		if pauses, ok := fault.(Pauses); ok && n == pauses.After+1 && !b.wait(r, pauses.For) {
 			return false
@@ -278,6 +285,19 @@
 	return true
 }
 
+// writeNoEvents writes comments in steps until the connection is closed.
+func (b *Backend) writeNoEvents(w http.ResponseWriter, r *http.Request) bool {
+	for b.waitStep(r) {
+		if _, err := io.WriteString(w, ": no event\n"); err != nil {
+			return false
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // waitStep waits for one step. It reports whether the connection stayed open for the whole step.
 func (b *Backend) waitStep(r *http.Request) bool { return b.wait(r, b.StepTime) }
 
