gateway: test of logs keeps one reason of holds

Trace: since a hold is logged once for each reason, the case shows whether a second reason comes up. 800 ms after the request, the first silent attempts of the short requests are lost, their engine is avoided, and the other engine alone has no memory for the prompt; with 400,000 tokens also the spread of the short requests over the engines could decide. Both lines are right, and which attempt is lost first is random.

Change: the request is 300,000 tokens long and is refused 500 ms after it came, before any attempt is lost; the test now also asks for the reason of the hold.

Conclusion: a fault of the test, brought by the reasons of holds; what it asks for is as strict as before.

--- a/internal/gateway/logs_test.go
+++ b/internal/gateway/logs_test.go
@@ -70,7 +70,11 @@
 				h.backends[2].StepTime, h.backends[3].StepTime = 5*time.Second, 5*time.Second
 				h.saturate()
 			},
-			path: "/draft/a", modify: func(c *gateway.CallerRequest) { c.Prompt = &gateway.Prompt{Tokens: 400000, MaxOutputTokens: 500} },
+			// It is not held for memory: half of the prompt fits on an engine beside all the short requests, and it is
+			// refused before the first of these are sent to the other engine for the silence of theirs.
+			path: "/draft/a", modify: func(c *gateway.CallerRequest) {
+				c.Timeout, c.Prompt = 1200*time.Millisecond, &gateway.Prompt{Tokens: 300000, MaxOutputTokens: 500}
+			},
 			messages: []string{"held", "no placement", "request ended"}, field: "outcome", value: "refused-overloaded",
 		},
 		"stream broken on every backend server": {
@@ -100,6 +104,9 @@
 					assert.Assert(t, last[tc.field].(float64) > 4000)
 				}
 				for _, line := range lines {
+					if line["msg"] == "held" {
+						assert.Equal(t, line["reason"], "short-requests")
+					}
 					if line["msg"] == "sent" {
 						for _, field := range []string{"backend", "table", "backend-revision", "remaining-ms", "peer-age-ms", "unread-ms"} {
 							assert.Assert(t, line[field] != nil, "no %s", field)
