--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -41,7 +41,7 @@
 const (
 	// HoldLate means that the first event would be late, so requests that can still be on time go first.
 	HoldLate HoldReason = "late"
-	// HoldHeavy means that the pending prefill of other prompts leaves no time for a heavy prompt.
+	// HoldHeavy means that the turn of a heavy prompt has not come yet.
 	HoldHeavy HoldReason = "heavy"
 	// HoldShort means that all engines with memory for the prompt have short requests.
 	HoldShort HoldReason = "short-requests"
@@ -70,7 +70,8 @@
 	AllTried Reason = "all-tried"
 	// AllCold means that all remaining backend servers are cold and have reached their rate limit.
 	AllCold Reason = "all-cold"
-	// Overloaded means that the request has been held for free engines for as long as allowed.
+	// Overloaded means that the queue of heavy prompts is too long, that the request cannot be served before its
+	// deadline, or that it has been held for engines without short requests for as long as allowed.
 	Overloaded Reason = "overloaded"
 	// NoMemory means that the request has been held for memory for as long as allowed.
 	NoMemory Reason = "no-memory"
