gateway, dispatch, roster: servers that leave or want no requests for a time get none

Cause: no code read Server-Leaving or the Retry-After of a refusal. Change: an announcement takes this incarnation out of service in the roster, whatever the store says, until the store shows another one. A stated time is a hard limit in the planner; if all servers want none, a request that can wait is held without a send, and any other is refused at once with the shortest time that is left. Only a response that belongs to its request is evidence. The servers of a joint prefill are checked again after memory was reserved. Servers that drain count against the attempts of a route as long as they have an entry. State of a server that has left is dropped once nothing depends on it. Conclusion: both headers bind every kind of send of a gateway; other gateways are not told.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -364,6 +364,9 @@
 	return e
 }
 
+// Reused reports whether the connection had carried an earlier exchange, whose response may have been repeated on it.
+func (x *Exchange) Reused() bool { return x.conn.reused }
+
 // Wait blocks until the next bytes of the response are available. When none arrive within d, extend returns how much
 // longer to wait; zero ends the wait with an error. extend may be nil.
 func (x *Exchange) Wait(d time.Duration, extend func() time.Duration) error {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,6 +113,12 @@
 	avoidUntil time.Time
 	errorRate  average
 	cold       coldLimit
+	// busyUntil is when the backend server, which refused a request and stated for how long, may get requests again.
+	// Unlike avoidUntil it is a hard limit.
+	busyUntil time.Time
+	// left is set while the backend server is not known to be in service. The state is then dropped as soon as nothing
+	// depends on it.
+	left bool
 }
 
 // Planner places requests and keeps the state that this needs.
@@ -159,17 +165,32 @@
 	key := BackendKey(s)
 	st := p.states[key]
 	if st == nil {
-		st = &serverState{key: key, own: Load{Key: key}}
+		st = &serverState{key: key, own: Load{Key: key}, left: true}
 		p.states[key] = st
 	}
 	return st
 }
 
-// Forget drops the state of a backend server that has left, unless requests are outstanding there.
-func (p *Planner) Forget(s *roster.Server) {
-	key := BackendKey(s)
-	if st := p.states[key]; st != nil && st.own.Short+st.own.Long == 0 {
-		delete(p.states, key)
+// Forget drops the state of a backend server that has left. The state stays as long as requests are outstanding there,
+// and as long as the time for which the backend server wants no requests, because its entry may return.
+func (p *Planner) Forget(now time.Time, s *roster.Server) {
+	if st := p.states[BackendKey(s)]; st != nil {
+		st.left = true
+		p.dropIfUnused(now, st)
+	}
+}
+
+// dropIfUnused drops the state of a backend server that has left if nothing depends on it.
+func (p *Planner) dropIfUnused(now time.Time, st *serverState) {
+	if st.left && st.own == (Load{Key: st.key}) && !now.Before(st.busyUntil) {
+		delete(p.states, st.key)
+	}
+}
+
+// Expire drops the states of backend servers that have left and on which nothing depends any more.
+func (p *Planner) Expire(now time.Time) {
+	for _, st := range p.states {
+		p.dropIfUnused(now, st)
 	}
 }
 
@@ -292,16 +313,17 @@
 	delete(p.requests, id)
 	p.finishPrefill(r)
 	p.loadsChanged = true
+	first := r.servers[0]
+	if r.short {
+		first.own.Short--
+	} else {
+		first.own.Long--
+	}
+	first.recordOutcome(now, o)
 	for i, st := range r.servers {
 		if i == 0 || r.reserved {
 			st.own.Memory -= r.memory
 		}
+		p.dropIfUnused(now, st)
 	}
-	st := r.servers[0]
-	if r.short {
-		st.own.Short--
-	} else {
-		st.own.Long--
-	}
-	st.recordOutcome(now, o)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -40,12 +40,9 @@
 	if len(servers) == 0 {
 		return NoPlacement{Reason: NoServer, RetryAfter: retryAfterNoServer}
 	}
-	candidates, cold := p.candidates(now, profile, servers, tried)
+	candidates, without := p.candidates(now, profile, servers, tried)
 	if len(candidates) == 0 {
-		if cold {
-			return NoPlacement{Reason: AllCold, RetryAfter: retryAfterCold}
-		}
-		return NoPlacement{Reason: AllTried, RetryAfter: retryAfterTried}
+		return p.placeWithoutCandidates(now, profile, without)
 	}
 	switch {
 	case profile.Engine == nil:
@@ -68,12 +65,13 @@
 	retryAfterTried = 200 * time.Millisecond
 )
 
-// candidates returns the backend servers that may be chosen. Those to be avoided are included only if there are no
-// others. It also reports whether a cold backend server was left out because of its rate limit.
-func (p *Planner) candidates(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) ([]candidate, bool) {
+// candidates returns the backend servers that may be chosen, and why others may not. Those to be avoided are included
+// only if there are no others.
+func (p *Planner) candidates(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) ([]candidate, excluded) {
 	p.expirePeers(now)
 	p.candidateBuf = p.candidateBuf[:0]
-	cold, healthy := false, 0
+	var without excluded
+	healthy := 0
 	var mean float64
 	for _, s := range servers {
 		mean += float64(p.stateOf(s).errorRate) / float64(len(servers))
@@ -83,8 +81,13 @@
 			continue
 		}
 		st := p.stateOf(s)
+		st.left = false
+		if now.Before(st.busyUntil) {
+			without.addBusy(st.busyUntil)
+			continue
+		}
 		if profile.ColdPerSecond > 0 && now.Before(s.ColdUntil) && !st.cold.allows(now, profile.ColdPerSecond/float64(p.gateways), p.random) {
-			cold = true
+			without.cold = true
 			continue
 		}
 		c := candidate{server: s, state: st, total: st.own, rank: p.rank(s, st.key)}
@@ -103,7 +106,7 @@
 	if healthy > 0 && healthy < len(p.candidateBuf) {
 		p.candidateBuf = slices.DeleteFunc(p.candidateBuf, func(c candidate) bool { return c.avoid })
 	}
-	return p.candidateBuf, cold
+	return p.candidateBuf, without
 }
 
 // rank returns the position of a backend server in this gateway's own order; lower comes first.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -47,6 +47,8 @@
 	HoldShort HoldReason = "short-requests"
 	// HoldMemory means that no set of engines has memory for the prompt.
 	HoldMemory HoldReason = "memory"
+	// HoldBusy means that all backend servers that may be used want no requests for a time.
+	HoldBusy HoldReason = "busy"
 )
 
 // Hold means that the request is not sent yet. It must be placed again after Delay.
@@ -70,6 +72,8 @@
 	AllTried Reason = "all-tried"
 	// AllCold means that all remaining backend servers are cold and have reached their rate limit.
 	AllCold Reason = "all-cold"
+	// AllBusy means that all remaining backend servers want no requests until it is too late for this one.
+	AllBusy Reason = "all-busy"
 	// Overloaded means that the queue of heavy prompts is too long, that the request cannot be served before its
 	// deadline, or that it has been held for engines without short requests for as long as allowed.
 	Overloaded Reason = "overloaded"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 			reason = s.reason
 		}
 		if !q.mayRetry() {
-			q.giveUp(reason, retryAfterDefault)
+			q.giveUp(reason, q.retryDelay())
 			return
 		}
 	}
@@ -242,8 +242,8 @@
 	q.gateway.metrics.count("callers-left")
 }
 
-// attemptsLeft returns how many more backend servers may run the request. Backend servers that are no longer in service
-// do not count against the route's limit.
+// attemptsLeft returns how many more backend servers may run the request. Backend servers that have ended do not count
+// against the route's limit; those that drain do, because they may still be running it.
 func (q *request) attemptsLeft() int {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
@@ -254,7 +254,7 @@
 func (q *request) countAttemptsLeft() int {
 	remaining := q.admitted.Route.MaxAttempts
 	for _, s := range q.ranOn {
-		if q.gateway.roster.StillInService(s) {
+		if q.gateway.roster.Present(s) {
 			remaining--
 		}
 	}
@@ -269,13 +269,13 @@
 		return false
 	}
 	left := q.countAttemptsLeft()
-	if g.roster.StillInService(a.server) {
+	if g.roster.Present(a.server) {
 		left--
 	}
 	_, admitted := g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
 	_, quarantined := g.suspects.Check(now, q.fingerprint).(suspect.Quarantined)
 	return left > 0 && admitted && !quarantined && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
-		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID)
+		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
 	})
 }
 
@@ -290,6 +290,34 @@
 	return q.admitted.Route.Idempotent() && q.attemptsLeft() > 0
 }
 
+// retryDelay returns the retry delay for the caller of a request that may not be sent again. It is the time until a
+// backend server takes requests again if none does now.
+func (q *request) retryDelay() time.Duration {
+	g := q.gateway
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if wait := g.planner.NextFree(now, g.roster.InService(q.service)); wait > 0 {
+		return wait
+	}
+	return retryAfterDefault
+}
+
+// mayStillSend reports whether the backend servers of an attempt still take requests. Time passes between the placement
+// and the send when memory is reserved first.
+func (q *request) mayStillSend(a *attempt) bool {
+	g := q.gateway
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range append([]*roster.Server{a.server}, a.helpers...) {
+		if !g.roster.StillInService(s) || g.planner.BusyFor(now, s) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // exchange sends the request to the attempt's backend server and returns the head of the response.
 func (q *request) exchange(a *attempt, wait time.Duration, extend func() time.Duration, from resumePoint) (*backend.Exchange, ResponseHead, error) {
 	g := q.gateway
@@ -324,7 +352,11 @@
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
-	return x, g.protocol.DecodeResponseHead(x.Response), nil
+	head := g.protocol.DecodeResponseHead(x.Response)
+	if head.ID == q.req.ID || !x.Reused() {
+		g.recordNotice(a.server, head)
+	}
+	return x, head, nil
 }
 
 // matchesRequest reports whether a response belongs to a request. A response without an identifier is accepted, because
@@ -392,7 +424,9 @@
 
 // handleRefusal decides what follows a response that says that the request did not run.
 func (q *request) handleRefusal(a *attempt, r ResponseHead) attemptResult {
-	q.tried = append(q.tried, a.server.ID)
+	if r.RetryAfter == 0 {
+		q.tried = append(q.tried, a.server.ID)
+	}
 	if faulty := q.faultyHelper(a, r); faulty != nil {
 		now := q.gateway.clock.Now()
 		q.gateway.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -174,6 +175,29 @@
 	}
 }
 
+func (h *harness) deleteServer(b *direct.Backend) { h.store.Delete(platform.ServerKey(b.Server.ID)) }
+
+// strike sets a fault at the backend server that gets the requests on a path, and returns it once it has answered one with
+// the fault.
+func (h *harness) strike(path string, fault direct.ServerFault) *direct.Backend {
+	id := h.call(http.MethodPost, path, nil).id
+	for _, b := range h.backends {
+		if !slices.ContainsFunc(b.Runs(), func(r direct.Run) bool { return r.ID == id }) {
+			continue
+		}
+		b.SetFault(fault)
+		before := b.Arrivals()
+		for range 50 {
+			h.call(http.MethodPost, path, nil)
+			if b.Arrivals() > before {
+				return b
+			}
+		}
+	}
+	h.test.Fatalf("no backend server got a request with fault %T", fault)
+	return nil
+}
+
 // putEntry writes the entry of a backend server that stays cold for a time.
 func (h *harness) putEntry(server roster.Server, cold time.Duration) {
 	value, err := platform.EncodeServer(server, cold)
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -121,13 +121,18 @@
 }
 
 func (l *leases) sendOrder(ctx context.Context, s *roster.Server, r *http.Request) error {
-	l.request.gateway.metrics.count("orders")
-	x, err := l.request.gateway.pool.Exchange(ctx, backend.ExchangeOptions{
+	g := l.request.gateway
+	g.metrics.count("orders")
+	x, err := g.pool.Exchange(ctx, backend.ExchangeOptions{
 		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, IdleLimit: l.request.idleLimit,
 	}, r)
 	if err != nil {
 		return err
 	}
+	if !x.Reused() {
+		// On a reused connection, the response may be the repeated one of an earlier order.
+		g.recordNotice(s, g.protocol.DecodeResponseHead(x.Response))
+	}
 	if _, err := io.Copy(io.Discard, x.Response.Body); err != nil {
 		x.Done(false, 0)
 		return err
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -151,6 +151,11 @@
 	FaultyServer string
 	// KeepAlive is how long the connection may stay idle; zero when the response does not say.
 	KeepAlive time.Duration
+	// Leaving is set when the backend server announces that it is about to stop.
+	Leaving bool
+	// RetryAfter is the time for which a backend server that refused the request wants no requests from this gateway;
+	// zero when it states none.
+	RetryAfter time.Duration
 }
 
 // Failure is a failure that the gateway itself reports to a caller. It is a sealed interface: Rejected, NotRun and
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -14,6 +14,8 @@
 	BackendServers int    `json:"backend-servers"`
 	Gateways       int    `json:"gateways"`
 	Connections    uint64 `json:"connections-opened"`
+	// Unavailable lists the backend servers that get no requests because they said that they leave or are busy.
+	Unavailable []UnavailableServer `json:"unavailable,omitempty"`
 }
 
 // Status returns the current state of the gateway.
@@ -28,6 +30,7 @@
 		s.TableVersion, s.TableAge = t.Version, int64(g.currentTable.ProofAge(g.boot.Now())/time.Millisecond)
 	}
 	s.BackendServers, s.Gateways = g.roster.Len(), g.group.Size()
+	s.Unavailable = g.unavailableServers(g.clock.Now())
 	return s
 }
 
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -142,6 +142,7 @@
 		now := g.clock.Now()
 		g.mu.Lock()
 		changes := g.roster.Expire(now)
+		g.planner.Expire(now)
 		g.mu.Unlock()
 		for _, c := range changes {
 			g.handleChange(c)
@@ -213,6 +214,11 @@
 func (g *Gateway) handleChange(c roster.Change) {
 	switch c := c.(type) {
 	case roster.Joined:
+		if c.Previous != nil {
+			g.mu.Lock()
+			g.planner.Forget(g.clock.Now(), c.Previous)
+			g.mu.Unlock()
+		}
 		g.log.Info("backend server joined", "backend", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
 			"revision", c.Server.Revision, "draining", c.Server.Draining)
 	case roster.Updated:
@@ -225,8 +231,12 @@
 		g.log.Info("backend server left", "backend", c.Server.ID, "revision", c.Server.Revision)
 		g.pool.CloseIdle(c.Server.Address)
 		g.mu.Lock()
-		g.planner.Forget(c.Server)
+		g.planner.Forget(g.clock.Now(), c.Server)
 		g.mu.Unlock()
+	case roster.AnnouncedLeaving:
+		g.metrics.count("servers-leaving")
+		g.log.Info("backend server announced that it leaves", "backend", c.Server.ID, "service", c.Server.Service, "revision", c.Server.Revision)
+		g.pool.CloseIdle(c.Server.Address)
 	case roster.ZoneTakenOut:
 		g.log.Info("zone taken out of service", "zone", c.Zone)
 	case roster.ZoneReturned:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,6 +91,10 @@
 			q.recordOutcome(a, dispatch.Abandoned{})
 			return retryable{"memory"}
 		}
+		if !q.mayStillSend(a) {
+			q.recordOutcome(a, dispatch.Abandoned{})
+			return retryable{"backend-left"}
+		}
 	}
 	started := q.gateway.clock.Now()
 	wait := q.firstWait(a)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -16,6 +17,10 @@
 // shorter because it starts when the gateway learns of the recovery.
 const missingGrace = 1700 * time.Millisecond
 
+// leavingMemory is how long the announcement of a server that leaves is kept after its entry was removed. Entries that
+// expire during an outage of the store return afterwards, also for servers that are about to stop.
+const leavingMemory = 10 * time.Minute
+
 // Server is one incarnation of a backend server. It is immutable.
 type Server struct {
 	// ID identifies the server together with StartedAt; its address may be reused by another server.
@@ -36,14 +41,23 @@
 	Revision int64
 }
 
-// Change says what an update changed. It is a sealed interface: Joined, Updated, Left, Missing, ZoneTakenOut,
-// ZoneReturned and None are its only implementations.
+// incarnation identifies one start of a server.
+type incarnation struct {
+	id        string
+	startedAt int64 // Unix milliseconds, as in the store
+}
+
+func (s *Server) incarnation() incarnation { return incarnation{s.ID, s.StartedAt.UnixMilli()} }
+
+// Change says what an update changed. It is a sealed interface: Joined, Updated, Left, Missing, AnnouncedLeaving,
+// ZoneTakenOut, ZoneReturned and None are its only implementations.
 //
 //sumtype:decl
 type Change interface{ change() }
 
-// Joined means that a backend server is new or has restarted.
-type Joined struct{ Server *Server }
+// Joined means that a backend server is new or has restarted. Previous is the incarnation that it replaces, nil if there
+// is none.
+type Joined struct{ Server, Previous *Server }
 
 // Updated means that the entry of a backend server changed; Draining means that it started to drain.
 type Updated struct {
@@ -61,6 +75,9 @@
 	Until  time.Time
 }
 
+// AnnouncedLeaving means that a backend server has announced in a response that it is about to stop.
+type AnnouncedLeaving struct{ Server *Server }
+
 // ZoneTakenOut means that operators took a zone out of service.
 type ZoneTakenOut struct{ Zone string }
 
@@ -70,13 +87,14 @@
 // None means that nothing changed.
 type None struct{}
 
-func (Joined) change()       {}
-func (Updated) change()      {}
-func (Left) change()         {}
-func (Missing) change()      {}
-func (ZoneTakenOut) change() {}
-func (ZoneReturned) change() {}
-func (None) change()         {}
+func (Joined) change()           {}
+func (Updated) change()          {}
+func (Left) change()             {}
+func (Missing) change()          {}
+func (AnnouncedLeaving) change() {}
+func (ZoneTakenOut) change()     {}
+func (ZoneReturned) change()     {}
+func (None) change()             {}
 
 // Roster holds the backend servers and the zones taken out of service. It must be used by one goroutine at a time.
 type Roster struct {
@@ -86,13 +104,18 @@
 	// Until recoveryUntil, a removed entry may be that of a live server that has not written its entry again since an
 	// outage of the store.
 	recoveryUntil time.Time
-	zonesOut      map[string]bool
-	byService     map[string][]*Server
+	// leaving holds the incarnations that have announced that they are about to stop, and when each last had an entry.
+	// They get no new requests, whatever their entry says.
+	leaving   map[incarnation]time.Time
+	zonesOut  map[string]bool
+	byService map[string][]*Server
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{servers: map[string]*Server{}, missingUntil: map[string]time.Time{}, zonesOut: map[string]bool{}}
+	return &Roster{
+		servers: map[string]*Server{}, missingUntil: map[string]time.Time{}, leaving: map[incarnation]time.Time{}, zonesOut: map[string]bool{},
+	}
 }
 
 // StoreRecovered records that the store answers again after an outage. The servers of entries that are removed shortly
@@ -111,8 +134,14 @@
 	}
 	r.servers[s.ID] = &s
 	r.byService = nil
-	if old == nil || !old.StartedAt.Equal(s.StartedAt) || old.Address != s.Address {
-		return Joined{&s}
+	if old == nil {
+		return Joined{Server: &s}
+	}
+	if old.incarnation() != s.incarnation() || old.Address != s.Address {
+		if old.incarnation() != s.incarnation() {
+			delete(r.leaving, old.incarnation())
+		}
+		return Joined{Server: &s, Previous: old}
 	}
 	return Updated{Server: &s, Draining: s.Draining && !old.Draining}
 }
@@ -163,9 +192,39 @@
 	return changes
 }
 
-// Expire drops the servers whose entries have been missing for too long.
+// RecordLeaving records that a server has announced in a response that it is about to stop. It binds this incarnation
+// only, and also if the store shows it as ready or not at all.
+func (r *Roster) RecordLeaving(now time.Time, s *Server) Change {
+	if _, ok := r.leaving[s.incarnation()]; ok {
+		return None{}
+	}
+	r.leaving[s.incarnation()] = now
+	r.byService = nil
+	return AnnouncedLeaving{s}
+}
+
+// IsLeaving reports whether a server has announced that it is about to stop.
+func (r *Roster) IsLeaving(s *Server) bool {
+	_, leaving := r.leaving[s.incarnation()]
+	return leaving
+}
+
+// Servers returns all backend servers, sorted by ID.
+func (r *Roster) Servers() []*Server {
+	return slices.SortedFunc(maps.Values(r.servers), func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Expire drops the servers whose entries have been missing for too long, and the announcements of servers that have had
+// no entry for a long time.
 func (r *Roster) Expire(now time.Time) []Change {
 	var changes []Change
+	for leaving, lastEntry := range r.leaving {
+		if s := r.servers[leaving.id]; s != nil && s.incarnation() == leaving {
+			r.leaving[leaving] = now
+		} else if now.Sub(lastEntry) > leavingMemory {
+			delete(r.leaving, leaving)
+		}
+	}
 	for id, until := range r.missingUntil {
 		if !now.Before(until) {
 			changes = append(changes, r.drop(r.servers[id]))
@@ -210,7 +269,7 @@
 		r.byService = map[string][]*Server{}
 		missing := map[string][]*Server{}
 		for _, s := range r.servers {
-			if s.Draining || r.zonesOut[s.Zone] {
+			if s.Draining || r.zonesOut[s.Zone] || r.IsLeaving(s) {
 				continue
 			}
 			if _, ok := r.missingUntil[s.ID]; ok {
@@ -231,11 +290,17 @@
 	return r.byService[service]
 }
 
+// Present reports whether this incarnation of a server has an entry, and so may still be running requests. It may be
+// draining, leaving or in a zone that was taken out of service.
+func (r *Roster) Present(s *Server) bool {
+	current := r.servers[s.ID]
+	return current != nil && current.Address == s.Address && current.incarnation() == s.incarnation()
+}
+
 // StillInService reports whether a server may still get new requests. It is checked at each send, because the server
 // may have left since it was chosen.
 func (r *Roster) StillInService(s *Server) bool {
-	current := r.servers[s.ID]
-	return current != nil && current.Address == s.Address && current.StartedAt.Equal(s.StartedAt) && slices.Contains(r.InService(current.Service), current)
+	return r.Present(s) && slices.Contains(r.InService(s.Service), r.servers[s.ID])
 }
 
 // Len returns the number of backend servers.
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 )
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, RefusesLeases, Errors, ClosesEarly, Pauses, NoEvents, Unsigned and WrongID are its only implementations.
+// Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, NoEvents, Unsigned and WrongID
+// are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -29,6 +31,16 @@
 // Refuses means that requests are refused as not run.
 type Refuses struct{}
 
+// RefusesFor means that requests are refused as not run, and that the server wants no requests for a time.
+type RefusesFor struct{ For time.Duration }
+
+// Leaves means that requests are answered normally, and that the server announces that it is about to stop.
+type Leaves struct{}
+
+// RepeatsRefusal means that the first request on each connection is refused, without an identifier. The refusal is
+// written once more when the next request arrives on the connection, which runs and is answered after that.
+type RepeatsRefusal struct{}
+
 // RefusesLeases means that orders to reserve memory are refused.
 type RefusesLeases struct{}
 
@@ -54,16 +66,19 @@
 // WrongID means that responses carry the identifier of another request.
 type WrongID struct{}
 
-func (NoFault) serverFault()       {}
-func (NeverAnswers) serverFault()  {}
-func (Refuses) serverFault()       {}
-func (RefusesLeases) serverFault() {}
-func (Errors) serverFault()        {}
-func (ClosesEarly) serverFault()   {}
-func (Pauses) serverFault()        {}
-func (NoEvents) serverFault()      {}
-func (Unsigned) serverFault()      {}
-func (WrongID) serverFault()       {}
+func (NoFault) serverFault()        {}
+func (NeverAnswers) serverFault()   {}
+func (Refuses) serverFault()        {}
+func (RefusesFor) serverFault()     {}
+func (Leaves) serverFault()         {}
+func (RepeatsRefusal) serverFault() {}
+func (RefusesLeases) serverFault()  {}
+func (Errors) serverFault()         {}
+func (ClosesEarly) serverFault()    {}
+func (Pauses) serverFault()         {}
+func (NoEvents) serverFault()       {}
+func (Unsigned) serverFault()       {}
+func (WrongID) serverFault()        {}
 
 // Run is one request that a backend server has run.
 type Run struct {
@@ -87,6 +102,7 @@
 	fault    ServerFault
 	runs     []Run
 	arrivals int
+	orders   int
 	leases   map[string]lease
 }
 
@@ -121,6 +137,13 @@
 	return b.arrivals
 }
 
+// Orders returns the number of lease orders received.
+func (b *Backend) Orders() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.orders
+}
+
 // Reserved returns the number of tokens that are reserved by leases that have not expired.
 func (b *Backend) Reserved() int64 {
 	b.mu.Lock()
@@ -154,6 +177,8 @@
 	fault := b.fault
 	if request.Order == nil {
 		b.arrivals++
+	} else {
+		b.orders++
 	}
 	b.mu.Unlock()
 	head := gateway.ResponseHead{ID: request.ID, Signed: true}
@@ -170,11 +195,20 @@
 		b.handleOrder(w, *request.Order)
 		return
 	}
-	switch fault.(type) {
+	switch fault := fault.(type) {
 	case Refuses:
 		platform.SetResponseHead(w.Header(), gateway.ResponseHead{ID: request.ID, NotRun: true})
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case RefusesFor:
+		platform.SetResponseHead(w.Header(), gateway.ResponseHead{ID: request.ID, NotRun: true, RetryAfter: fault.For})
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case RepeatsRefusal:
+		b.repeatRefusal(w, r)
+		return
+	case Leaves:
+		head.Leaving = true
 	case Unsigned:
 		head.Signed = false
 	case WrongID:
@@ -194,6 +228,42 @@
 	}
 }
 
+// repeatRefusal takes over a connection whose first request has been received.
+func (b *Backend) repeatRefusal(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	header := http.Header{}
+	platform.SetResponseHead(header, gateway.ResponseHead{NotRun: true})
+	refusal := &http.Response{StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: header}
+	if refusal.Write(conn) != nil {
+		return
+	}
+	next, err := http.ReadRequest(buffer.Reader)
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(next.Body)
+	request, err := platform.DecodeBackendRequest(next)
+	if err != nil {
+		return
+	}
+	runIndex := b.recordRun(request, next, body)
+	_ = refusal.Write(conn)
+	b.clock.Sleep(b.StepTime)
+	header = http.Header{}
+	platform.SetResponseHead(header, gateway.ResponseHead{ID: request.ID, Signed: true})
+	text := Event(request.ID, 1)
+	answer := &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: header, ContentLength: int64(len(text)),
+		Body: io.NopCloser(strings.NewReader(text)),
+	}
+	b.endRun(runIndex, answer.Write(conn) == nil)
+}
+
 func (b *Backend) handleOrder(w http.ResponseWriter, order platform.Order) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
