gateway, backend: a repeated refusal on a kept connection is no answer to the next request

Cause: a response without an identifier was taken for the answer to any request, and a connection was kept after a refusal. A refusal that a faulty server wrote once more was then the answer to the next request: 2 runs of a stream that may not be repeated (TestRepeatedRefusal). Change: requests that must not run twice get a connection of their own; a connection is kept only after a successful answer with the request's identifier; on a reused connection a response without identifier counts at most as a refusal that may have run; orders do not accept a response with an identifier. Ruled out: bookings, which had a new connection each already.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -231,8 +231,8 @@
 // ExchangeOptions describes how an exchange is made.
 type ExchangeOptions struct {
 	Address netip.AddrPort
-	// NewConnection requires a new connection. It is for requests that must not be lost on an idle connection that
-	// failed unnoticed.
+	// NewConnection requires a new connection. It is for requests that must not run twice: on an idle connection they could
+	// be lost unnoticed, or get a repeated response to an earlier request.
 	NewConnection bool
 	// IdleLimit is how many idle connections to the address may be kept after the exchange, at most MaxIdle.
 	IdleLimit int
@@ -241,9 +241,9 @@
 	DialTimeout, HeadTimeout time.Duration
 	// Extend is called when HeadTimeout expires. It returns how much longer to wait, or zero to give up. It may be nil.
 	Extend func() time.Duration
-	// Matches reports whether a response belongs to the request. Late responses to earlier requests on the connection
-	// are skipped. It may be nil.
-	Matches func(*http.Response) bool
+	// Matches reports whether a response belongs to the request, given whether the connection carried an earlier exchange.
+	// Late responses to earlier requests on the connection are skipped. It may be nil.
+	Matches func(resp *http.Response, reused bool) bool
 }
 
 // Exchange is a response that is being read. The body of Response must be read before Done.
@@ -322,7 +322,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if options.Matches == nil || options.Matches(resp) {
+		if options.Matches == nil || options.Matches(resp, c.reused) {
 			x.Response = resp
 			return nil
 		}
@@ -404,6 +404,12 @@
 	x.conn.abort()
 }
 
+// Close ends an exchange whose response was read to its end, and closes the connection.
+func (x *Exchange) Close() {
+	x.stopAbort()
+	_ = x.conn.Close()
+}
+
 // bodyWritten reports whether the whole request was sent. If the response arrived before that, the connection cannot be
 // reused, because the rest of the body would be read as the next request.
 func (x *Exchange) bodyWritten() bool {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -69,7 +69,7 @@
 func options() backend.ExchangeOptions {
 	return backend.ExchangeOptions{
 		Address: address, DialTimeout: time.Second, HeadTimeout: time.Second, IdleLimit: backend.MaxIdle,
-		Matches: func(r *http.Response) bool { return r.Header.Get("Id") == "own" },
+		Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "own" },
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -339,8 +339,8 @@
 	plain := q.admitted.Route.Kind != route.Stream
 	options := backend.ExchangeOptions{
 		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining), Extend: extend,
-		NewConnection: q.admitted.Route.Kind == route.Unsafe, IdleLimit: q.idleLimit,
-		Matches: func(resp *http.Response) bool { return g.matchesRequest(&q.req, resp) },
+		NewConnection: !q.admitted.Route.Idempotent(), IdleLimit: q.idleLimit,
+		Matches: func(resp *http.Response, reused bool) bool { return g.matchesRequest(&q.req, resp, reused) },
 	}
 	if plain {
 		options.DialTimeout = min(dialTimeoutPlain, remaining)
@@ -353,17 +353,33 @@
 		return nil, ResponseHead{}, err
 	}
 	head := g.protocol.DecodeResponseHead(x.Response)
-	if head.ID == q.req.ID || !x.Reused() {
+	if q.identified(x, head) {
 		g.recordNotice(a.server, head)
 	}
 	return x, head, nil
 }
 
-// matchesRequest reports whether a response belongs to a request. A response without an identifier is accepted, because
-// a backend server reports some failures before it has read the request.
-func (g *Gateway) matchesRequest(c *CallerRequest, resp *http.Response) bool {
-	id := g.protocol.DecodeResponseHead(resp).ID
-	return id == "" || id == c.ID
+// matchesRequest reports whether a response belongs to a request. Backend servers echo the identifier, except in some
+// refusals. On a reused connection, any other response without an identifier may be a repeated one.
+func (g *Gateway) matchesRequest(c *CallerRequest, resp *http.Response, reused bool) bool {
+	head := g.protocol.DecodeResponseHead(resp)
+	return head.ID == c.ID || head.ID == "" && (!reused || head.NotRun)
+}
+
+// identified reports whether a response is certainly that of the request, rather than a repeated one on a reused
+// connection.
+func (q *request) identified(x *backend.Exchange, head ResponseHead) bool {
+	return head.ID == q.req.ID || !x.Reused()
+}
+
+// endExchange ends an exchange whose response was read to its end. The connection is kept only after a successful answer
+// to this request: a faulty backend server may write a refusal or an error once more, when the next request is waiting.
+func (q *request) endExchange(x *backend.Exchange, head ResponseHead) {
+	if head.ID == q.req.ID && head.Status >= 200 && head.Status < 300 {
+		x.Done(true, head.KeepAlive)
+		return
+	}
+	x.Close()
 }
 
 // resumePoint is the event after which a stream resumes. after is ignored unless resumes is set.
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -125,6 +125,8 @@
 	g.metrics.count("orders")
 	x, err := g.pool.Exchange(ctx, backend.ExchangeOptions{
 		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, IdleLimit: l.request.idleLimit,
+		// Responses to orders carry no identifier; a repeated response to a request does.
+		Matches: func(resp *http.Response, _ bool) bool { return g.protocol.DecodeResponseHead(resp).ID == "" },
 	}, r)
 	if err != nil {
 		return err
@@ -137,9 +139,10 @@
 		x.Done(false, 0)
 		return err
 	}
-	x.Done(true, 0)
 	if x.Response.StatusCode != http.StatusOK {
+		x.Close()
 		return errors.Errorf("engine %s: status %d", s.ID, x.Response.StatusCode)
 	}
+	x.Done(true, 0)
 	return nil
 }
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -224,3 +225,21 @@
 		assert.Equal(t, busy.Arrivals(), arrivals)
 	})
 }
+
+// Guards against a refusal that a backend server writes once more on a kept connection and that is taken for the answer
+// to the next request, which then runs twice or is reported as not run although it runs.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, path := range []string{"/book/a", "/once/a", "/draft/a", "/look/a"} {
+		t.Run(path[1:5], func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.setFaults(serviceOf(path), direct.RepeatsRefusal{}, direct.RepeatsRefusal{})
+				for n := range 12 {
+					got := h.call(http.MethodPost, path, func(c *gateway.CallerRequest) { c.ID = fmt.Sprintf("repeated-%d", n) })
+					runs := len(h.runs(got.id))
+					assert.Assert(t, runs <= 1, "%d runs", runs)
+					assert.Assert(t, !got.NotRun || runs == 0, "refused as not run after %d runs", runs)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -57,8 +57,11 @@
 		x.Done(false, 0)
 		return nil, q.handleFailure(a, failure)
 	}
-	x.Done(true, head.KeepAlive)
+	q.endExchange(x, head)
 	if head.NotRun {
+		if !q.identified(x, head) {
+			q.ranOn = append(q.ranOn, a.server)
+		}
 		return nil, q.handleRefusal(a, head)
 	}
 	q.ranOn = append(q.ranOn, a.server)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,7 +109,7 @@
 	remaining := max(wait-q.gateway.clock.Since(started), gapWaitMin/4)
 	err = q.relay(a, x, events, remaining)
 	if err == nil {
-		x.Done(true, head.KeepAlive)
+		q.endExchange(x, head)
 		q.ranOn = append(q.ranOn, a.server)
 		q.recordOutcome(a, dispatch.Answered{})
 		q.outcome = "answered"
