peering: the interval within a zone grows smoothly with the zone and the group

Cause: in a zone of more than 16 gateways the interval between states within the zone jumped from that of the zone (47 ms) to that of the whole group (177 ms at 82 gateways, 219 ms at 103), so gateways of slightly larger zones placed requests by much older reports. Change: the interval within the zone follows the size of the zone, limited by a rate of 490 datagrams a second for each gateway, from which those to other zones are taken off first. Figures: TestIntervalIsSmooth fails before (47 to 177 ms with one more gateway) and passes now; TestLargeGroups keeps its bounds of 500 and 600 datagrams a second at 100 and 300 gateways.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -23,15 +23,16 @@
 	// idleInterval is the longest interval between two datagrams to a member when nothing changes.
 	idleInterval = 500 * time.Millisecond
 	// baseInterval is the shortest interval between two datagrams to a member when something changes. perMember is
-	// added to it for each member in the gateway's zone, or for each member of the group if the zone has more than
-	// largeZoneSize or the group at most smallGroupSize. This limits the cost of a large group for an instance. In a
+	// added to it for each member in the gateway's zone, or for each member of a group of at most smallGroupSize. In a
 	// group of more than smallGroupSize, the interval for members in other zones is crossZoneFactor times the interval
 	// for the whole group, because traffic between zones is expensive and requests mostly stay in their zone. A change
 	// never waits longer than the interval that applies without changes.
 	baseInterval    = 15 * time.Millisecond
 	perMember       = 2 * time.Millisecond
 	crossZoneFactor = 5
-	largeZoneSize   = 16
+	// maxDatagramRate is the largest number of datagrams per second that a gateway sends. What datagrams to other zones
+	// leave of it is the largest rate within the zone, so the interval there grows smoothly with zone and group.
+	maxDatagramRate = 490
 	// smallGroupSize is the number of members up to which the interval is the same for all of them.
 	smallGroupSize = 4
 	// maxReorderDelay is how late a datagram of an earlier incarnation may arrive. After a longer silence, a lower
@@ -253,12 +254,24 @@
 // intervals returns the interval between two datagrams to a member in the same zone and to one in another zone when
 // something changes, and to any member when nothing does.
 func (g *Group) intervals() (sameZone, otherZones, idle time.Duration) {
-	sameZone = g.Interval()
-	idle = max(idleInterval, g.pacing())
+	pacing := g.pacing()
+	idle = max(idleInterval, pacing)
 	if len(g.members) <= smallGroupSize {
-		return sameZone, sameZone, idle
+		return pacing, pacing, idle
 	}
-	return sameZone, min(crossZoneFactor*g.pacing(), idle), idle
+	count := 0
+	for _, m := range g.members {
+		if m.zone == g.zone {
+			count++
+		}
+	}
+	otherZones = min(crossZoneFactor*pacing, idle)
+	rateLeft := maxDatagramRate - float64(len(g.members)-count)/otherZones.Seconds()
+	sameZone = baseInterval + time.Duration(count)*perMember
+	if byRate := time.Duration(float64(count) / rateLeft * float64(time.Second)); rateLeft > 0 && byRate < pacing {
+		return max(sameZone, byRate), otherZones, idle
+	}
+	return pacing, otherZones, idle
 }
 
 // pacing returns the interval between two datagrams to a member, computed from the size of the whole group.
@@ -267,16 +280,8 @@
 // Interval returns the shortest interval between two datagrams to the same member, which is the one for members in
 // the same zone.
 func (g *Group) Interval() time.Duration {
-	count := 0
-	for _, m := range g.members {
-		if m.zone == g.zone {
-			count++
-		}
-	}
-	if count > largeZoneSize || len(g.members) <= smallGroupSize {
-		count = len(g.members)
-	}
-	return baseInterval + time.Duration(count)*perMember
+	sameZone, _, _ := g.intervals()
+	return sameZone
 }
 
 // NextDatagram returns the sequence number of the next datagram and the members to list in it.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -114,6 +114,25 @@
 	assert.Assert(t, far >= 30 && far <= 40, "%d datagrams in a second to other zones", far)
 }
 
+// Guards against a size of the zone or of the group at which the interval within the zone jumps, so that gateways of a
+// slightly larger zone place requests by much older reports.
+func TestIntervalIsSmooth(t *testing.T) {
+	cases := map[string]struct{ zones, most int }{"one zone": {1, 200}, "three zones": {3, 400}, "five zones": {5, 400}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := peering.NewGroup(self, "0", nil)
+			previous := time.Duration(0)
+			for i := range tc.most {
+				from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7001)
+				g.Receive(start, from, peering.State{Incarnation: 1, Sequence: 1, Zone: fmt.Sprint(i % tc.zones)})
+				interval := g.Interval()
+				assert.Assert(t, i < 5 || interval < previous+previous/4, "%v at %d gateways, %v at one less", interval, i+2, previous)
+				previous = interval
+			}
+		})
+	}
+}
+
 // Guards against large groups whose gateways learn of each other too late, lose each other because they rarely send,
 // or send more datagrams than an instance can handle. Limits are divided among the known gateways, so a gateway that
 // knows too few of them uses too large a part.
