dispatch: the state of a server that got a request is kept

Cause: marks new states as those of servers that are not in service, and drops them once their requests have ended, with what had been learned from the outcomes. Change: a placement marks the servers as in service. Conclusion: the planner avoids servers after failures as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -248,6 +248,7 @@
 		return 0
 	}
 	for i, st := range r.servers {
+		st.left = false
 		st.own.PendingPrefill += r.prefill
 		if r.heavy {
 			st.own.PendingHeavy += r.prefill
