gateway, peering, route: the gateways of a zone share the cost of proving the table

Change: the gateway with the lowest address of a zone watches with a wait of 0.75 s and tells the others the version of the table and the revision of the store that its calls prove; the others wait 15 s. A watch is cut short when the last proof is 2.2 s old or when another gateway has seen a later revision for 0.3 s. A proof counts only if all changes up to its revision have been applied, which replaces the bound on the age of the own query: TestProveByPeer checks that instead, and no proof passes that covers an unseen change. The pause after changes grows with the group, up to a quarter of the shortest change bound. The store counts as having been away when the last proof is 2.2 s old, whether or not a call failed. Ruled out: cheap reads, which may be seconds old and prove nothing; passing changes on between gateways, by which a wrong peer could empty a service. TestRevocationInGroup covers cuts of the proving gateway, of half the zone and of all paths. Conclusion: calls while nothing changes grow with the zones; every gateway still refuses a revoked key in time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,7 @@
 	active             atomic.Int64
 	stopping           atomic.Int64 // start of the shutdown as Unix nanoseconds; zero while serving
 
-	// mu guards the fields from currentTable to random.
+	// mu guards the fields from currentTable to watch.
 	mu           sync.Mutex
 	currentTable *route.CurrentTable
 	roster       *roster.Roster
@@ -81,6 +81,7 @@
 	retries      *dispatch.SharedRetryBudget
 	suspects     *suspect.Registry
 	random       *rand.Rand
+	watch        pendingWatch
 	// firstReadDone is closed when the first read of the store has succeeded or failed.
 	firstReadDone chan struct{}
 }
@@ -116,6 +117,9 @@
 	return func(g *Gateway) { g.callers, g.readiness = callers, readiness }
 }
 
+// WithPeerConn sets the connection for datagrams of other gateways, which is otherwise opened at PeeringAddress.
+func WithPeerConn(conn net.PacketConn) Option { return func(g *Gateway) { g.peerConn = conn } }
+
 // Start starts a gateway and returns without waiting for the routing table. The readiness listener reports when callers
 // can be served.
 func Start(s Settings, p Protocol, store Store, options ...Option) (*Gateway, error) {
@@ -168,7 +172,7 @@
 		}
 		*l.listener = listener
 	}
-	if g.PeeringAddress.IsValid() {
+	if g.PeeringAddress.IsValid() && g.peerConn == nil {
 		conn, err := net.ListenPacket("udp", g.PeeringAddress.String())
 		if err != nil {
 			return &Error{Op: "start", Kind: KindListen, Err: err}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -24,6 +24,8 @@
 	ShutdownTimeout time.Duration
 	// RevocationTimeout is how long a caller key may still be used after it was revoked; zero means no limit.
 	RevocationTimeout time.Duration
+	// ChangeTimeout is the time within which a change in the store must be in force; zero means that it is not known.
+	ChangeTimeout time.Duration
 	// RetryShare and RetryReserve limit the retries of all gateways together in each RetryWindow: a share of the
 	// window's requests, plus RetryReserve.
 	RetryShare, RetryReserve float64
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,9 +17,6 @@
 	// member gets a datagram more often than that, so it receives each new mark.
 	maxCrashMarks   = 12
 	crashMarkPeriod = 3 * time.Second
-	// maxReadAge is the largest age of this gateway's own proof of its table at which proofs by other gateways count. It
-	// covers a watch without changes and the time in which the others query the store once more.
-	maxReadAge = 2500 * time.Millisecond
 )
 
 // receivePeers is the task that receives datagrams from other gateways.
@@ -55,8 +52,11 @@
 	if _, ok := result.(peering.Fresh); ok {
 		bootNow := g.boot.Now()
 		g.proofs.RecordStamp(from, s, bootNow)
-		if proof.Incarnation == g.incarnation && g.currentTable.ProveByPeer(proof.Version, proof.ProvenAt(), bootNow, maxReadAge) {
-			g.metrics.count("peer-proofs")
+		if proof.Incarnation == g.incarnation {
+			g.watch.sawRevision(bootNow, proof.Revision, g.currentTable.Revision())
+			if g.currentTable.ProveByPeer(proof.Version, proof.Revision, proof.ProvenAt(), bootNow) {
+				g.metrics.count("peer-proofs")
+			}
 		}
 		g.planner.SetPeerLoads(now, from.String(), s.Loads)
 		g.planner.SetPeerQueue(now, from.String(), s.Held, s.Offered)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -5,29 +5,21 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"berylward.example/berylward/internal/roster"
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A watch proves that the table was the latest version when the
-	// watch was sent. The age of that proof therefore reaches twice watchWait, and it stays below the limit for revoked
-	// keys even when one watch hangs.
-	watchWait = 1500 * time.Millisecond
-	// watchWaitSmall is the wait in groups of at most smallGroupSize gateways, whose calls cost little in total. When
-	// the store fails, keyed requests can be served for longer the more recently the table was proven.
-	watchWaitSmall = 900 * time.Millisecond
-	smallGroupSize = 4
-	// recoveryWait is the wait of the first watch after a failure. It is short so that the table is proven soon.
-	recoveryWait = 50 * time.Millisecond
-	// batchPause is the pause after a watch that returned changes. Changes come in groups, and every call of every
-	// gateway is charged. The pause delays later changes, which is acceptable because a change may take seconds to come
-	// into force.
-	batchPause = 250 * time.Millisecond
 	// retryMin is the pause after a failed call to the store. It doubles with each failure, up to retryMax.
 	retryMin = 60 * time.Millisecond
 	retryMax = 500 * time.Millisecond
 	// outageMin is the shortest store outage in which the entries of backend servers may expire.
 	outageMin = time.Second
+	// outageProofAge is the age of the last proof, by this gateway or another, from which the store counts as having been
+	// unavailable, also if no call of this gateway failed. Entries of live backend servers expire in outages that are
+	// longer than this.
+	outageProofAge = 2200 * time.Millisecond
 	// expireInterval is the pause between checks for expired backend servers.
 	expireInterval = 100 * time.Millisecond
 )
@@ -53,11 +45,14 @@
 		if full {
 			updates, next, err = g.store.Read(ctx, allowStale)
 		} else {
-			updates, next, err = g.store.Watch(ctx, revision, g.watchWait(!failedSince.IsZero()))
+			updates, next, err = g.watchStore(ctx, revision, !failedSince.IsZero())
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errWatchCut) {
+			continue
+		}
 		if err != nil {
 			markFirstReadDone()
 			g.metrics.count("store-errors")
@@ -87,7 +82,7 @@
 			failedSince = time.Time{}
 		}
 		pause = retryMin
-		applied := g.apply(sent, updates, full)
+		applied := g.apply(sent, updates, next, full)
 		markFirstReadDone()
 		if !applied {
 			// The newest table could not be decoded, so the one in force cannot be proven. Read everything again.
@@ -98,7 +93,7 @@
 			continue
 		}
 		revision = next
-		if len(updates) > 0 && !full && !g.sleep(batchPause) {
+		if len(updates) > 0 && !full && !g.sleep(g.batchPause()) {
 			return nil
 		}
 	}
@@ -113,19 +108,6 @@
 	return d/2 + time.Duration(g.random.Int64N(int64(d)))
 }
 
-// watchWait returns how long the next watch waits for a change.
-func (g *Gateway) watchWait(recovering bool) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if recovering {
-		return recoveryWait
-	}
-	if g.group.Size() <= smallGroupSize {
-		return watchWaitSmall
-	}
-	return watchWait
-}
-
 // sleep waits for d. It reports whether the whole time passed before the gateway stopped.
 func (g *Gateway) sleep(d time.Duration) bool {
 	select {
@@ -136,7 +118,8 @@
 	}
 }
 
-// expire is the task that removes backend servers whose entries stay missing after a store outage.
+// expire is the task that removes backend servers whose entries stay missing after a store outage, and that ends watches
+// which wait too long.
 func (g *Gateway) expire() error {
 	for g.sleep(expireInterval) {
 		now := g.clock.Now()
@@ -144,6 +127,7 @@
 		changes := g.roster.Expire(now)
 		g.planner.Expire(now)
 		g.mu.Unlock()
+		g.checkWatch()
 		for _, c := range changes {
 			g.handleChange(c)
 		}
@@ -152,7 +136,7 @@
 }
 
 // apply brings updates from the store into force. It reports whether every routing table in them could be decoded.
-func (g *Gateway) apply(sent time.Time, updates []Update, full bool) bool {
+func (g *Gateway) apply(sent time.Time, updates []Update, revision int64, full bool) bool {
 	now := g.clock.Now()
 	readable := true
 	var servers []roster.Server
@@ -160,6 +144,9 @@
 	var changes []roster.Change
 	var logCalls []func()
 	g.mu.Lock()
+	if g.currentTable.ProofAge(g.boot.Now()) >= outageProofAge {
+		g.roster.StoreRecovered(now)
+	}
 	for _, update := range updates {
 		switch u := update.(type) {
 		case TableUpdate:
@@ -196,9 +183,10 @@
 		changes = append(changes, g.roster.ReplaceZonesOut(zonesOut)...)
 	}
 	if readable && g.currentTable.Table() != nil {
-		g.currentTable.Prove(sent)
-		g.proofs.QuerySucceeded(g.currentTable.Table().Version)
+		g.currentTable.Prove(sent, revision)
+		g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
 	}
+	g.watch.applied(revision)
 	g.mu.Unlock()
 	for _, logCall := range logCalls {
 		logCall()
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -66,6 +66,7 @@
 	Incarnation uint64
 	Stamp       uint64
 	DelayMS     uint32
+	Revision    int64
 }
 
 type usageMessage struct {
@@ -122,7 +123,7 @@
 // EncodeProof returns the second part of a datagram, which holds the proof for its recipient.
 func EncodeProof(p Proof) ([]byte, error) {
 	data, err := cbor.Marshal(proofMessage{
-		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, DelayMS: uint32(p.Delay.Milliseconds()),
+		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, DelayMS: uint32(p.Delay.Milliseconds()), Revision: p.Revision,
 	})
 	if err != nil {
 		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
@@ -146,6 +147,7 @@
 	}
 	proof := Proof{
 		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, Delay: time.Duration(p.DelayMS) * time.Millisecond,
+		Revision: p.Revision,
 	}
 	s := State{
 		Incarnation: m.Incarnation, Sequence: m.Sequence, Zone: m.Zone, Stopping: m.Stopping,
--- a/internal/peering/proofs.go
+++ b/internal/peering/proofs.go
@@ -5,13 +5,15 @@
 	"time"
 )
 
-// Proof states that a routing table was the latest version at a point in time, by the clock of the gateway that
-// receives the proof. A datagram may wait for seconds in a suspended process, so the time of arrival does not count.
+// Proof states that a routing table was the latest version at a point in time, and that the store had no changes after a
+// revision then, by the clock of the gateway that receives the proof. A datagram may wait for seconds in a suspended process, so the time of arrival does not count.
 // Instead, the time is relative to a stamp that the sender had received from the recipient before it queried the
 // store.
 type Proof struct {
 	// Version is the version of the table; zero means that there is no proof.
 	Version int64
+	// Revision is the revision of the store.
+	Revision int64
 	// Incarnation and Stamp are taken from the last state that the recipient had sent.
 	Incarnation, Stamp uint64
 	// Delay is the time between the arrival of the stamp and the query.
@@ -62,11 +64,11 @@
 	}
 }
 
-// QuerySucceeded records that the store answered the last query with a version of the table.
-func (p *ProofTracker) QuerySucceeded(version int64) {
+// QuerySucceeded records that the store answered the last query with a version of the table and a revision.
+func (p *ProofTracker) QuerySucceeded(version, revision int64) {
 	p.proven = p.queried
 	for gateway, proof := range p.proven {
-		proof.Version = version
+		proof.Version, proof.Revision = version, revision
 		p.proven[gateway] = proof
 	}
 }
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -48,9 +48,10 @@
 // come from a clock that keeps running while the instance is suspended. It must be used by one goroutine at a time.
 type CurrentTable struct {
 	table *Table
-	// provenAt is the time of the latest proof that the table is the latest version, ownProvenAt that of the latest
-	// proof by this gateway's own query.
-	provenAt, ownProvenAt time.Time
+	// provenAt is the time of the latest proof that the table is the latest version. revision is that of the store up to
+	// which this gateway has applied all changes.
+	provenAt time.Time
+	revision int64
 	// maxKeyProofAge is the age of the proof from which requests that need a caller key are no longer admitted; zero
 	// means no limit.
 	maxKeyProofAge time.Duration
@@ -71,27 +72,29 @@
 	return true
 }
 
-// Prove records that this gateway itself found the table in force to be the latest version at a point in time.
-func (c *CurrentTable) Prove(at time.Time) {
-	if at.After(c.ownProvenAt) {
-		c.ownProvenAt = at
-	}
+// Prove records that this gateway itself found the table in force to be the latest version at a point in time, and that
+// it has applied all changes of the store up to a revision.
+func (c *CurrentTable) Prove(at time.Time, revision int64) {
+	c.revision = max(c.revision, revision)
 	if at.After(c.provenAt) {
 		c.provenAt = at
 	}
 }
 
-// ProveByPeer records that another gateway found a version of the table to be the latest one at a point in time, and
-// reports whether this counts. It counts only for the version in force, and only if this gateway itself proved the
-// table within maxOwnAge: everything else that this gateway has read from the store is only as recent as that.
-func (c *CurrentTable) ProveByPeer(version int64, at, now time.Time, maxOwnAge time.Duration) bool {
-	if c.table == nil || c.table.Version != version || at.After(now) || now.Sub(c.ownProvenAt) > maxOwnAge || !at.After(c.provenAt) {
+// ProveByPeer records that another gateway found a version of the table to be the latest one at a point in time, when the
+// store had no changes after a revision. It reports whether this counts: only for the version in force, and only if this
+// gateway has applied all changes up to that revision, so that everything else it has read is as recent as the proof.
+func (c *CurrentTable) ProveByPeer(version, revision int64, at, now time.Time) bool {
+	if c.table == nil || c.table.Version != version || at.After(now) || revision > c.revision || !at.After(c.provenAt) {
 		return false
 	}
 	c.provenAt = at
 	return true
 }
 
+// Revision returns the revision of the store up to which all changes have been applied.
+func (c *CurrentTable) Revision() int64 { return c.revision }
+
 // Table returns the table in force, or nil.
 func (c *CurrentTable) Table() *Table { return c.table }
 
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -14,7 +14,7 @@
 	"berylward.example/berylward/platform"
 )
 
-// itemsPerPage is the largest number of items in one page of a range.
+// itemsPerPage is the largest number of items in one page of a range unless SetPageSize sets another.
 const itemsPerPage = 20
 
 // Outage is a way in which the store fails. It is a sealed interface: NoOutage, NoAnswer, Unavailable and ConnClosed
@@ -54,11 +54,13 @@
 	outage  Outage
 	changed chan struct{}
 	calls   int
+	// pageSize is the largest number of items in one page of a range.
+	pageSize int
 }
 
 // NewStore returns an empty store.
 func NewStore(c clock.Clock) *Store {
-	return &Store{clock: c, items: map[string]platform.Item{}, revision: 1, outage: NoOutage{}, changed: make(chan struct{})}
+	return &Store{clock: c, items: map[string]platform.Item{}, revision: 1, outage: NoOutage{}, changed: make(chan struct{}), pageSize: itemsPerPage}
 }
 
 // Put writes an item.
@@ -83,6 +85,13 @@
 	s.notify()
 }
 
+// SetPageSize sets the largest number of items in one page of a range.
+func (s *Store) SetPageSize(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = items
+}
+
 // SetLag sets the number of changes by which reads that allow stale data are behind. It has no effect after Compact.
 func (s *Store) SetLag(changes int64) {
 	s.mu.Lock()
@@ -189,11 +198,12 @@
 			items = append(items, item)
 		}
 	}
+	pageSize := s.pageSize
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > itemsPerPage
+	more := len(items) > pageSize
 	if more {
-		items = items[:itemsPerPage]
+		items = items[:pageSize]
 	}
 	writeItems(w, items, false, more, revision)
 }
