peering, dispatch: engines of other zones count as more loaded the older their reports are

Cause: reports from other zones are up to 0.5 s old in large groups, and all gateways sent long prompts to the engines that these showed as idle. Change: for long prompts an engine of another zone counts with the prefill that it has probably got since its last report, a quarter of the difference of the intervals; datagrams to other zones go out at most every 0.8 s in large groups.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -131,9 +131,11 @@
 	requests map[PlacementID]*placedRequest
 	lastID   PlacementID
 	// peers holds the last report of each other gateway, peerLoads the sum of these reports by backend server.
-	peers        map[string]peerReport
-	peerLoads    map[Key]*peerLoad
-	gateways     int
+	peers     map[string]peerReport
+	peerLoads map[Key]*peerLoad
+	gateways  int
+	// unreported is the prefill that gateways have probably sent to an engine of another zone since their last reports.
+	unreported   time.Duration
 	loadsChanged bool
 	queue        longQueue
 	candidateBuf []candidate
@@ -198,6 +200,16 @@
 // evenly among them.
 func (p *Planner) SetGatewayCount(n int) { p.gateways = max(n, 1) }
 
+// unreportedShare is the part of the interval between reports from other zones that an engine there has probably got in
+// prefill meanwhile: reports are half an interval old in the mean, and engines of a loaded fleet are busy half the time.
+const unreportedShare = 0.25
+
+// SetReportIntervals sets the intervals between the reports of gateways in this gateway's zone and in others. The larger
+// the difference, the less load an engine of another zone must report to be preferred for a long prompt.
+func (p *Planner) SetReportIntervals(sameZone, otherZones time.Duration) {
+	p.unreported = max(time.Duration(unreportedShare*float64(otherZones-sameZone)), 0)
+}
+
 // MaxIdleConnections returns how many idle connections this gateway may keep to a backend server that accepts
 // maxConnections from all callers together; zero means that the backend server states no limit.
 func (p *Planner) MaxIdleConnections(maxConnections int) int {
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -42,9 +42,14 @@
 // placeLong prefills a prompt on as few engines as it takes for the first event to be on time, preferably on engines
 // without short requests. engines is the number in service.
 func (p *Planner) placeLong(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
+	for i := range candidates {
+		if candidates[i].server.Zone != p.zone {
+			candidates[i].unreported = p.unreported
+		}
+	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		// A prefill pauses the answers that its engine generates.
-		return cmp.Or(cmp.Compare(a.total.PendingPrefill, b.total.PendingPrefill), cmp.Compare(a.total.Long, b.total.Long), cmp.Compare(a.rank, b.rank))
+		return cmp.Or(cmp.Compare(a.pending(), b.pending()), cmp.Compare(a.total.Long, b.total.Long), cmp.Compare(a.rank, b.rank))
 	})
 	mayWait := !profile.TargetTime.IsZero()
 	position := p.queuePosition(now, profile, candidates)
@@ -207,7 +212,7 @@
 		if len(chosen) < n {
 			continue
 		}
-		finish := chosen[n-1].total.PendingPrefill + part + iterationTime
+		finish := chosen[n-1].pending() + part + iterationTime
 		onTime := finish <= target && part <= maxPart
 		if len(best) == 0 || finish < bestFinish || onTime {
 			best, bestFinish = slices.Clone(chosen), finish
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -28,11 +28,16 @@
 	state  *serverState
 	total  Load
 	avoid  bool
+	// unreported is prefill that other gateways have probably sent there since their last reports.
+	unreported time.Duration
 	// rank orders the backend servers for this gateway: those of its zone first, then by a hash that differs between
 	// gateways.
 	rank uint64
 }
 
+// pending returns the prefill that a new prompt probably waits for.
+func (c *candidate) pending() time.Duration { return c.total.PendingPrefill + c.unreported }
+
 func (c *candidate) requests() int { return c.total.Short + c.total.Long }
 
 // Place decides where a request goes, given the backend servers in service and the IDs of those that have been tried.
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -285,3 +285,29 @@
 	}
 	assert.Assert(t, held > 3*time.Second && held < 4*time.Second, "held for %v of 12 s", held)
 }
+
+// Guards against gateways of a large group that send long prompts to the same engines of another zone, because their last
+// reports of it are old.
+func TestLongPromptsByAgeOfReports(t *testing.T) {
+	cases := map[string]struct {
+		sameZone, otherZones time.Duration
+		// own is the pending prefill of the engines in the gateway's zone; the others are idle by their last reports.
+		own  time.Duration
+		zone string
+	}{
+		"recent reports":             {23 * time.Millisecond, 23 * time.Millisecond, 100 * time.Millisecond, "z-1"},
+		"old reports":                {60 * time.Millisecond, 800 * time.Millisecond, 100 * time.Millisecond, "z-0"},
+		"old reports, own zone full": {60 * time.Millisecond, 800 * time.Millisecond, 400 * time.Millisecond, "z-1"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := dispatch.NewPlanner("z-0"), newServers(2)
+			p.SetReportIntervals(tc.sameZone, tc.otherZones)
+			p.SetPeerLoads(start, "other", []dispatch.Load{{Key: dispatch.BackendKey(list[0]), Long: 1, PendingPrefill: tc.own}})
+			profile := longProfile(30000)
+			sent, ok := p.Place(start, profile, list, nil).(dispatch.Send)
+			assert.Assert(t, ok)
+			assert.Equal(t, sent.Server.Zone, tc.zone)
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -80,6 +80,7 @@
 func (g *Gateway) updateGroupSize(now time.Time) {
 	n := g.group.Size()
 	g.planner.SetGatewayCount(n)
+	g.planner.SetReportIntervals(g.group.Intervals())
 	g.retries.SetGatewayCount(n, g.group.Complete(now))
 }
 
@@ -94,7 +95,7 @@
 		g.updateGroupSize(now)
 		loads, changed := g.planner.Loads(now)
 		recipients := g.group.Recipients(now, changed)
-		interval = g.group.Interval()
+		interval, _ = g.group.Intervals()
 		var data []byte
 		proofs := make([]peering.Proof, 0, len(recipients))
 		if len(recipients) > 0 {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -30,6 +30,9 @@
 	baseInterval    = 15 * time.Millisecond
 	perMember       = 2 * time.Millisecond
 	crossZoneFactor = 5
+	// maxCrossZoneInterval limits the interval for members in other zones in groups whose pacing allows it, so that one
+	// datagram may be lost before a report expires.
+	maxCrossZoneInterval = 800 * time.Millisecond
 	// maxDatagramRate is the largest number of datagrams per second that a gateway sends. What datagrams to other zones
 	// leave of it is the largest rate within the zone, so the interval there grows smoothly with zone and group.
 	maxDatagramRate = 490
@@ -202,6 +205,18 @@
 	return n
 }
 
+// ZoneRank returns the position of this gateway among those of its zone that accept requests, in the order of their
+// addresses, from zero. Gateways that know each other have different ranks.
+func (g *Group) ZoneRank() int {
+	rank := 0
+	for address, m := range g.members {
+		if !m.receivedAt.IsZero() && !m.stopping && m.zone == g.zone && address.Compare(g.self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Complete reports whether the gateways that accept requests are probably all known.
 func (g *Group) Complete(now time.Time) bool {
 	if g.startedAt.IsZero() {
@@ -243,12 +258,14 @@
 // intervalTo returns the interval between two datagrams to a member, given the results of intervals.
 func (g *Group) intervalTo(m *member, sameZone, otherZones, idle time.Duration) time.Duration {
 	switch {
-	case !m.pending:
-		return idle
-	case m.zone != g.zone:
+	case m.zone != g.zone && m.pending:
 		return otherZones
+	case m.zone != g.zone:
+		return max(otherZones, idle)
+	case m.pending:
+		return sameZone
 	}
-	return sameZone
+	return idle
 }
 
 // intervals returns the interval between two datagrams to a member in the same zone and to one in another zone when
@@ -265,7 +282,7 @@
 			count++
 		}
 	}
-	otherZones = min(crossZoneFactor*pacing, idle)
+	otherZones = max(min(crossZoneFactor*pacing, maxCrossZoneInterval), pacing)
 	rateLeft := maxDatagramRate - float64(len(g.members)-count)/otherZones.Seconds()
 	sameZone = baseInterval + time.Duration(count)*perMember
 	if byRate := time.Duration(float64(count) / rateLeft * float64(time.Second)); rateLeft > 0 && byRate < pacing {
@@ -277,11 +294,11 @@
 // pacing returns the interval between two datagrams to a member, computed from the size of the whole group.
 func (g *Group) pacing() time.Duration { return baseInterval + time.Duration(len(g.members))*perMember }
 
-// Interval returns the shortest interval between two datagrams to the same member, which is the one for members in
-// the same zone.
-func (g *Group) Interval() time.Duration {
-	sameZone, _, _ := g.intervals()
-	return sameZone
+// Intervals returns the interval between two datagrams to a member in the same zone and to one in another zone when
+// something changes. The first is the shortest interval between two datagrams to the same member.
+func (g *Group) Intervals() (sameZone, otherZones time.Duration) {
+	sameZone, otherZones, _ = g.intervals()
+	return sameZone, otherZones
 }
 
 // NextDatagram returns the sequence number of the next datagram and the members to list in it.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -125,7 +125,7 @@
 			for i := range tc.most {
 				from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7001)
 				g.Receive(start, from, peering.State{Incarnation: 1, Sequence: 1, Zone: fmt.Sprint(i % tc.zones)})
-				interval := g.Interval()
+				interval, _ := g.Intervals()
 				assert.Assert(t, i < 5 || interval < previous+previous/4, "%v at %d gateways, %v at one less", interval, i+2, previous)
 				previous = interval
 			}
@@ -201,7 +201,8 @@
 							}
 						}
 					}
-					next[i] = at + g.Interval()
+					interval, _ := g.Intervals()
+					next[i] = at + interval
 				}
 				if at%checkInterval != 0 {
 					continue
