platform, gateway: a start goes on after the pages that it has, and serves with a part of the list

Cause: a start read all pages of the store, each within 0.9 s, and began again at the first one when a page failed. Gateways that start together share the store's link: with 30 of them, 1,000 servers and a link of 2 MB/s, they served after 21 s, with 1 MB/s not within 40 s, while giving up pages that were under way.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -139,6 +139,17 @@
 	return n
 }
 
+// knowing returns how many gateways know a number of backend servers.
+func (f *fleet) knowing(servers int) int {
+	n := 0
+	for _, g := range f.gateways {
+		if g != nil && g.Status().BackendServers == servers {
+			n++
+		}
+	}
+	return n
+}
+
 // status returns the status code that a gateway answers a keyed request for a backend server with.
 func (f *fleet) status(i int, key string) int {
 	c := gateway.CallerRequest{ID: "probe", Method: http.MethodGet, Target: "/look/a", Host: callerHost, Key: key, Timeout: time.Second}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -79,8 +79,10 @@
 type Store interface {
 	// Read returns the complete state and the revision from which to watch. With allowStale set, entries of backend
 	// servers may be seconds old; the first watch then delivers what is missing. Gateways that start use it, because
-	// many of them starting at the same time would otherwise exceed the rate limit of the store.
-	Read(ctx context.Context, allowStale bool) ([]Update, int64, error)
+	// many of them starting at the same time would otherwise exceed the rate limit of the store. While more is to come,
+	// partial is called with the entries read so far, which include the current routing table and some backend servers. A
+	// call after a failed one may go on where that one failed. Read is not called concurrently.
+	Read(ctx context.Context, allowStale bool, partial func([]Update)) ([]Update, int64, error)
 	// Watch waits at most wait for changes after a revision. It returns them and the revision for the next call.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]Update, int64, error)
 	// Compacted reports whether an error of Watch means that the store no longer has the requested history, so that
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -28,6 +28,8 @@
 		"booking hangs":                    {"/book/a", [2]direct.ServerFault{direct.NeverAnswers{}, direct.NeverAnswers{}}, 504, 1, 1, false},
 		"booking breaks":                   {"/book/a", [2]direct.ServerFault{direct.ClosesEarly{}, direct.ClosesEarly{}}, 502, 1, 1, false},
 		"booking mismatched response":      {"/book/a", [2]direct.ServerFault{direct.WrongID{}, direct.WrongID{}}, 502, 1, 1, false},
+		"booking drips":                    {"/book/a", [2]direct.ServerFault{direct.Drips{}, direct.Drips{}}, 504, 1, 1, false},
+		"look-up drips once":               {"/look/a", [2]direct.ServerFault{direct.Drips{}, direct.NoFault{}}, 200, 1, 2, true},
 		"booking unsigned":                 {"/book/a", [2]direct.ServerFault{direct.Unsigned{}, direct.Unsigned{}}, 502, 1, 1, false},
 		"booking fails":                    {"/book/a", [2]direct.ServerFault{direct.Errors{}, direct.Errors{}}, 500, 1, 1, true},
 		"look-up works":                    {"/look/a", [2]direct.ServerFault{direct.NoFault{}, direct.NoFault{}}, 200, 1, 1, true},
@@ -352,3 +354,34 @@
 		})
 	}
 }
+
+// Guards against a stream that has begun, breaks off and continues with the error of the next backend server, or ends as if
+// it were complete.
+func TestBrokenStreamThenFailure(t *testing.T) {
+	cases := map[string]direct.ServerFault{
+		"error":          direct.Errors{Size: 200},
+		"refusal":        direct.Refuses{},
+		"busy":           direct.RefusesFor{For: time.Minute},
+		"no signature":   direct.Unsigned{},
+		"other response": direct.WrongID{},
+		"no events":      direct.NoEvents{},
+		"breaks at once": direct.ClosesEarly{},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.backends[2].StepTime, h.backends[3].StepTime = 200*time.Millisecond, 200*time.Millisecond
+				h.setFaults("pool", direct.ClosesEarly{After: 2}, direct.ClosesEarly{After: 2})
+				go func() {
+					// Both backend servers fail in the new way once the first of them has sent two events.
+					time.Sleep(500 * time.Millisecond)
+					h.setFaults("pool", fault, fault)
+				}()
+				got := h.call(http.MethodPost, "/draft/a", nil)
+				assert.Equal(t, got.Status, 200)
+				assert.Assert(t, !got.complete)
+				assert.Equal(t, got.body, expectedStream(got.id, 1, 2))
+			})
+		})
+	}
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -43,7 +43,12 @@
 		var next int64
 		var err error
 		if full {
-			updates, next, err = g.store.Read(ctx, allowStale)
+			updates, next, err = g.store.Read(ctx, allowStale, func(part []Update) {
+				// The part does not cover all changes up to any revision.
+				if g.apply(sent, part, 0, false) {
+					markFirstReadDone()
+				}
+			})
 		} else {
 			updates, next, err = g.watchStore(ctx, revision, !failedSince.IsZero())
 		}
@@ -135,7 +140,9 @@
 	return nil
 }
 
-// apply brings updates from the store into force. It reports whether every routing table in them could be decoded.
+// apply brings updates from the store into force that an answer to a call sent at a time contained. They include all
+// changes up to a revision; zero means that they are a part of an answer. apply reports whether every routing table in them
+// could be decoded.
 func (g *Gateway) apply(sent time.Time, updates []Update, revision int64, full bool) bool {
 	now := g.clock.Now()
 	readable := true
@@ -184,9 +191,11 @@
 	}
 	if readable && g.currentTable.Table() != nil {
 		g.currentTable.Prove(sent, revision)
-		g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+		if revision > 0 {
+			g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+			g.watch.applied(revision)
+		}
 	}
-	g.watch.applied(revision)
 	g.mu.Unlock()
 	for _, logCall := range logCalls {
 		logCall()
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -16,8 +16,8 @@
 )
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, NoEvents, Unsigned and WrongID
-// are its only implementations.
+// Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents,
+// Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -57,6 +57,9 @@
 	For   time.Duration
 }
 
+// Drips means that the body of a response that is no stream arrives one byte per step, and is too long to end in time.
+type Drips struct{}
+
 // NoEvents means that the stream consists of bytes that complete no event and goes on until the connection is closed.
 type NoEvents struct{}
 
@@ -76,6 +79,7 @@
 func (Errors) serverFault()         {}
 func (ClosesEarly) serverFault()    {}
 func (Pauses) serverFault()         {}
+func (Drips) serverFault()          {}
 func (NoEvents) serverFault()       {}
 func (Unsigned) serverFault()       {}
 func (WrongID) serverFault()        {}
@@ -313,6 +317,9 @@
 	if pauses, ok := fault.(Pauses); ok && !b.wait(r, pauses.For) {
 		return false
 	}
+	if _, ok := fault.(Drips); ok {
+		return b.drip(w, r)
+	}
 	body := Body(request.ID)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	if _, ok := fault.(ClosesEarly); ok {
@@ -355,6 +362,26 @@
 	return true
 }
 
+// drip writes a body of maxDripped bytes, one per step.
+func (b *Backend) drip(w http.ResponseWriter, r *http.Request) bool {
+	w.Header().Set("Content-Length", fmt.Sprint(maxDripped))
+	for range maxDripped {
+		if !b.waitStep(r) {
+			return false
+		}
+		if _, err := io.WriteString(w, "."); err != nil {
+			return false
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// maxDripped is the length of a dripping body in bytes.
+const maxDripped = 10_000
+
 // writeNoEvents writes comments in steps until the connection is closed.
 func (b *Backend) writeNoEvents(w http.ResponseWriter, r *http.Request) bool {
 	for b.waitStep(r) {
