soak, standin, gateway: gateways of a soak exchange datagrams; servers that leave, refuse for a time or repeat a refusal

Cause: all gateways of a soak shared one host with a port each, and the platform's settings give all gateways the same port, so each sent to itself and no soak exercised peering. The new faults of servers were not in the soak. Change: a loopback host for each gateway with one peering port; faults for servers that leave and restart, that refuse for a time, and that repeat a refusal on a kept connection. Conclusion: the soak does not know which gateway a request came from, so it does not check the two rules per gateway; the tests in gateway do.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -62,9 +62,21 @@
 		b := h.backends[h.random.IntN(len(h.backends))]
 		b.SetFault([]direct.ServerFault{
 			direct.NeverAnswers{}, direct.Refuses{}, direct.Errors{}, direct.ClosesEarly{After: h.random.IntN(4)}, direct.Unsigned{}, direct.WrongID{},
-		}[h.random.IntN(6)])
+			direct.RepeatsRefusal{}, direct.RefusesFor{For: time.Duration(h.random.Int64N(int64(maxFaultLength)))},
+		}[h.random.IntN(8)])
 		return func() { b.SetFault(direct.NoFault{}) }
 	}},
+	{"backend leaves and restarts", true, func(h *harness) func() {
+		b := h.backends[h.random.IntN(len(h.backends))]
+		b.SetFault(direct.Leaves{})
+		return func() {
+			b.SetFault(direct.NoFault{})
+			h.mu.Lock()
+			h.startedAt[b] = h.clock.Now()
+			h.mu.Unlock()
+			h.updateEntry(b, false)
+		}
+	}},
 	{"backend drain", true, func(h *harness) func() {
 		b := h.backends[h.random.IntN(len(h.backends))]
 		h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -112,6 +112,8 @@
 	revokedAt   map[string]time.Time
 	requests    []*sentRequest
 	faultCounts map[string]int
+	// startedAt is the start of the current incarnation of each backend server that was restarted.
+	startedAt map[*direct.Backend]time.Time
 	// unplannedFaults are the intervals in which unplanned faults excuse interrupted responses. drains are the planned
 	// drains of backend servers.
 	unplannedFaults []interval
@@ -136,11 +138,21 @@
 	return netip.AddrPortFrom(host, uint16(12000+h.addressCount))
 }
 
+// peeringPort is the port for datagrams between gateways. All gateways use the same port, as on the platform.
+const peeringPort = 11999
+
+// gatewayAddress returns a loopback address for a gateway. Each gateway has a host of its own, so that gateways tell each
+// other's datagrams from their own.
+func (h *harness) gatewayAddress(gateway int, port uint16) netip.AddrPort {
+	id := uint32(os.Getpid())
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(0x40 | gateway + 1), byte(id >> 8), byte(id)}), port)
+}
+
 // Run runs the soak with one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
 	h := &harness{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), clock: clock.RealClock{}, store: direct.NewStore(clock.RealClock{}),
-		revokedAt: map[string]time.Time{}, faultCounts: map[string]int{},
+		revokedAt: map[string]time.Time{}, faultCounts: map[string]int{}, startedAt: map[*direct.Backend]time.Time{},
 	}
 	defer h.close()
 	if err := h.setUp(); err != nil {
@@ -182,7 +194,7 @@
 	var settings []platform.Settings
 	for i := range h.Gateways {
 		s := platform.Settings{Store: storeProxyAddress, MemoryLimit: 256 << 20, Settings: gateway.Settings{
-			Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.newAddress(),
+			Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
 			ShutdownTimeout: 8 * time.Second, RevocationTimeout: revocationDelay, RetryShare: 0.2, RetryReserve: 100,
 			RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond, MaxLease: 20 * time.Second,
 		}}
@@ -261,6 +273,11 @@
 func (h *harness) putEntry(b *direct.Backend, draining bool) error {
 	server := b.Server
 	server.Draining = draining
+	h.mu.Lock()
+	if startedAt, ok := h.startedAt[b]; ok {
+		server.StartedAt = startedAt
+	}
+	h.mu.Unlock()
 	value, err := platform.EncodeServer(server, 0)
 	if err != nil {
 		return err
