gateway, dispatch: servers that have ended are not tried again while their entries last; unsent attempts are no retries

Each send to an old one was answered with 421 and only kept the gateway away for 150 ms; each failed dial before that, and each 421, counted as a retry. 216 of the 216 refusals that 18 gateways of the zone got in two seconds were 421, and 318 requests were refused because the retry limit was used up. A send counts against the retry limit only after a first one that may have reached a server. Ruled out: a hard limit after 421, because a faulty server could take itself or others out of service with it. Conclusion: the class is a refusal that was learned as if it were load.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -92,6 +92,7 @@
 		"lost once, later":           {profile: plainProfile(), setup: end(dispatch.Lost{}, 1), elapsed: time.Second, used: true},
 		"lost often, later":          {profile: plainProfile(), setup: end(dispatch.Lost{}, 5), elapsed: time.Second},
 		"full":                       {profile: plainProfile(), setup: end(dispatch.Full{}, 1)},
+		"gone, later":                {profile: plainProfile(), setup: end(dispatch.Gone{}, 1), elapsed: 5 * time.Second},
 		"full, later":                {profile: plainProfile(), setup: end(dispatch.Full{}, 1), elapsed: time.Second, used: true},
 		"one error":                  {profile: plainProfile(), setup: end(dispatch.Errored{}, 1), used: true},
 		"errors":                     {profile: plainProfile(), setup: end(dispatch.Errored{}, 12)},
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,6 +12,9 @@
 	// doubles it, up to maxAvoidance. The store keeps the entry of a dead backend server for some seconds.
 	initialAvoidance = 400 * time.Millisecond
 	maxAvoidance     = 6 * time.Second
+	// goneAvoidance is how long an incarnation is avoided after another server answered at its address. The store shows
+	// within this time that it is gone.
+	goneAvoidance = 6 * time.Second
 	// fullAvoidance is how long a backend server is avoided after it refused a request because it is full.
 	fullAvoidance = 150 * time.Millisecond
 	// errorRateWeight is the weight of the newest outcome in the error rate.
@@ -21,8 +24,8 @@
 	errorRateMargin = 0.2
 )
 
-// Outcome says how a request ended at a backend server. It is a sealed interface: Answered, Errored, Full, Lost and
-// Abandoned are its only implementations.
+// Outcome says how a request ended at a backend server. It is a sealed interface: Answered, Errored, Full, Gone,
+// Lost and Abandoned are its only implementations.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
@@ -36,6 +39,9 @@
 // Full means that the backend server refused the request without running it.
 type Full struct{}
 
+// Gone means that another server answered at the address of the backend server, which therefore has ended.
+type Gone struct{}
+
 // Lost means that no connection was established, or that the answer broke off or did not arrive in time.
 type Lost struct{}
 
@@ -45,6 +51,7 @@
 func (Answered) outcome()  {}
 func (Errored) outcome()   {}
 func (Full) outcome()      {}
+func (Gone) outcome()      {}
 func (Lost) outcome()      {}
 func (Abandoned) outcome() {}
 
@@ -63,6 +70,8 @@
 		st.errorRate.add(1)
 	case Full:
 		st.avoidFor(now, fullAvoidance)
+	case Gone:
+		st.avoidFor(now, goneAvoidance)
 	case Lost:
 		st.errorRate.add(1)
 		st.avoidFor(now, min(initialAvoidance<<min(st.failures, 8), maxAvoidance))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -345,10 +345,13 @@
 	if plain {
 		options.DialTimeout = min(dialTimeoutPlain, remaining)
 	}
-	q.exchanged = true
 	ctx, span := g.tracer.Start(q.ctx, "attempt", trace.WithAttributes(attribute.String("backend", a.server.ID)))
 	defer span.End()
 	x, err := g.pool.Exchange(ctx, options, g.protocol.EncodeAttempt(&q.req, q.body, encoded))
+	var failure *backend.Error
+	if !errors.As(err, &failure) || failure.Sent() {
+		q.exchanged = true
+	}
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
@@ -450,6 +453,8 @@
 		q.gateway.mu.Unlock()
 		q.tried = append(q.tried, faulty.ID)
 		q.recordOutcome(a, dispatch.Abandoned{})
+	} else if r.Misdirected {
+		q.recordOutcome(a, dispatch.Gone{})
 	} else {
 		q.recordOutcome(a, dispatch.Full{})
 	}
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -116,3 +116,37 @@
 		assert.Assert(t, got.complete)
 	})
 }
+
+// Guards against sending requests again and again to the address of a backend server that has ended and whose entry is still
+// in the store, and against refusing them for the retry limit although no backend server has received them.
+func TestEndedServersWithEntries(t *testing.T) {
+	cases := map[string]struct {
+		// end ends a backend server.
+		end func(*harness, *direct.Backend)
+		// maxArrivals is the largest number of requests that may reach its address.
+		maxArrivals int
+		// retryReserve is the number of retries that the gateway may make beyond its share.
+		retryReserve float64
+	}{
+		"address used by another server": {func(_ *harness, b *direct.Backend) { b.Server.ID = "i-other" }, 1, 20},
+		"nothing listens":                {func(h *harness, b *direct.Backend) { assert.NilError(h.test, h.listeners[b.Server.Address].Close()) }, 0, 0},
+	}
+	for name, tc := range cases {
+		for _, path := range []string{"/book/a", "/look/a", "/draft/a"} {
+			t.Run(name+path, func(t *testing.T) {
+				withPreparedHarness(t, func(h *harness) { h.retryReserve = tc.retryReserve }, func(h *harness) {
+					ended := h.strike(path, direct.NoFault{})
+					h.client.CloseIdleConnections()
+					time.Sleep(5 * time.Second) // the gateway closes its idle connections
+					before := ended.Arrivals()
+					tc.end(h, ended)
+					for range 20 {
+						assert.Equal(t, h.call(http.MethodPost, path, nil).Status, 200)
+						time.Sleep(100 * time.Millisecond)
+					}
+					assert.Assert(t, ended.Arrivals()-before <= tc.maxArrivals, "%d arrivals", ended.Arrivals()-before)
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,7 +53,7 @@
 	tried       []string
 	ranOn       []*roster.Server // backend servers that may have run the request
 	sends       int
-	exchanged   bool // the request has been passed to the connection of a backend server
+	exchanged   bool // the request may have reached a backend server
 	holdReasons []dispatch.HoldReason
 	heldTime    time.Duration
 	holdID      dispatch.HoldID // zero unless the request is in the queue of heavy prompts
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -1,10 +1,16 @@
 package gateway_test
 
 import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/peering"
 )
 
 // Guards against calls to the store that grow with the number of gateways while nothing changes, and against gateways
@@ -79,3 +85,46 @@
 		})
 	}
 }
+
+// Guards against a datagram that ends a gateway, or makes it refuse or lose what it serves: truncated, with changed bytes, or
+// with random content.
+func TestMalformedDatagrams(t *testing.T) {
+	withFleet(t, fleetOptions{gateways: 3, zones: 1, servers: 3}, func(f *fleet) {
+		time.Sleep(5 * time.Second)
+		random := rand.New(rand.NewPCG(3, 3))
+		conn := f.network.Listen(fleetAddress(9))
+		target := net.UDPAddrFromAddrPort(fleetAddress(1))
+		state := peering.State{
+			Incarnation: 1, Zone: "0", Members: []netip.AddrPort{fleetAddress(0)}, Loads: []dispatch.Load{{Key: 7, Short: 3, PendingPrefill: time.Second}},
+			RetryUsage: []dispatch.RetryUsage{{Service: 5, Requests: 9}}, CrashMarks: []byte{1, 2, 3}, Held: []dispatch.HeldPrompt{{Service: 5, Waited: time.Second}},
+		}
+		for n := range 3000 {
+			state.Sequence = uint64(n)
+			data, err := peering.Encode(state)
+			assert.NilError(t, err)
+			proof, err := peering.EncodeProof(peering.Proof{Version: 1 << 40, Revision: 1 << 40, Stamp: uint64(n)})
+			assert.NilError(t, err)
+			data = append(data, proof...)
+			switch n % 3 {
+			case 0:
+				data = data[:random.IntN(len(data))]
+			case 1:
+				for range 1 + random.IntN(4) {
+					data[random.IntN(len(data))] = byte(random.IntN(256))
+				}
+			default:
+				for i := range data {
+					data[i] = byte(random.IntN(256))
+				}
+			}
+			_, err = conn.WriteTo(data, target)
+			assert.NilError(t, err)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, f.ready(), 3)
+		// The backend servers of a fleet do not listen, so an admitted request gets no answer from them.
+		assert.Equal(t, f.status(1, "unknown"), 401)
+		assert.Assert(t, f.status(1, callerKey) != 401)
+		assert.NilError(t, conn.Close())
+	})
+}
