--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
 
 	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/dispatch"
@@ -16,19 +13,9 @@
 	"berylward.example/berylward/internal/suspect"
 )
 
-const (
-	// dialTimeout bounds the opening of a connection, which normally takes a few milliseconds. TCP retransmits a lost
-	// SYN much later than this.
-	dialTimeout = 300 * time.Millisecond
-	// dialTimeoutPlain applies to plain requests, whose deadlines are short.
-	dialTimeoutPlain = 120 * time.Millisecond
-	// minRemaining is the shortest remaining time in which an attempt is started; with less, the response could not
-	// arrive before the deadline.
-	minRemaining = 5 * time.Millisecond
-	// urgencyShort and urgencyLong set the priority of prompts at the engine, so that it prefills short prompts first.
-	urgencyShort = 2
-	urgencyLong  = 5
-)
+// minRemaining is the shortest remaining time in which an attempt is started; with less, the response could not arrive
+// before the deadline.
+const minRemaining = 5 * time.Millisecond
 
 // attemptResult says how an attempt ended. It is a sealed interface: completed, retryable and permanentFailure are its
 // only implementations.
@@ -318,79 +305,6 @@
 	return true
 }
 
-// exchange sends the request to the attempt's backend server and returns the head of the response.
-func (q *request) exchange(a *attempt, wait time.Duration, extend func() time.Duration, from resumePoint) (*backend.Exchange, ResponseHead, error) {
-	g := q.gateway
-	remaining := q.deadline.Sub(g.clock.Now())
-	encoded := Attempt{Server: a.server, Workspace: q.admitted.Workspace, Remaining: remaining, Urgency: -1}
-	if q.profile.Engine != nil {
-		encoded.Urgency = urgencyLong
-		if q.profile.Short() {
-			encoded.Urgency = urgencyShort
-		}
-	}
-	for _, s := range a.helpers {
-		encoded.Helpers = append(encoded.Helpers, Helper{Address: s.Address})
-	}
-	if a.leases != nil {
-		encoded.Helpers = a.leases.helpers()
-	}
-	encoded.ResumeAfter, encoded.Resumes = from.after, from.resumes
-	plain := q.admitted.Route.Kind != route.Stream
-	options := backend.ExchangeOptions{
-		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining), Extend: extend,
-		NewConnection: !q.admitted.Route.Idempotent(), IdleLimit: q.idleLimit,
-		Matches: func(resp *http.Response, reused bool) bool { return g.matchesRequest(&q.req, resp, reused) },
-	}
-	if plain {
-		options.DialTimeout = min(dialTimeoutPlain, remaining)
-	}
-	ctx, span := g.tracer.Start(q.ctx, "attempt", trace.WithAttributes(attribute.String("backend", a.server.ID)))
-	defer span.End()
-	x, err := g.pool.Exchange(ctx, options, g.protocol.EncodeAttempt(&q.req, q.body, encoded))
-	var failure *backend.Error
-	if !errors.As(err, &failure) || failure.Sent() {
-		q.exchanged = true
-	}
-	if err != nil {
-		return nil, ResponseHead{}, err
-	}
-	head := g.protocol.DecodeResponseHead(x.Response)
-	if q.identified(x, head) {
-		g.recordNotice(a.server, head)
-	}
-	return x, head, nil
-}
-
-// matchesRequest reports whether a response belongs to a request. Backend servers echo the identifier, except in some
-// refusals. On a reused connection, any other response without an identifier may be a repeated one.
-func (g *Gateway) matchesRequest(c *CallerRequest, resp *http.Response, reused bool) bool {
-	head := g.protocol.DecodeResponseHead(resp)
-	return head.ID == c.ID || head.ID == "" && (!reused || head.NotRun)
-}
-
-// identified reports whether a response is certainly that of the request, rather than a repeated one on a reused
-// connection.
-func (q *request) identified(x *backend.Exchange, head ResponseHead) bool {
-	return head.ID == q.req.ID || !x.Reused()
-}
-
-// endExchange ends an exchange whose response was read to its end. The connection is kept only after a successful answer
-// to this request: a faulty backend server may write a refusal or an error once more, when the next request is waiting.
-func (q *request) endExchange(x *backend.Exchange, head ResponseHead) {
-	if head.ID == q.req.ID && head.Status >= 200 && head.Status < 300 {
-		x.Done(true, head.KeepAlive)
-		return
-	}
-	x.Close()
-}
-
-// resumePoint is the event after which a stream resumes. after is ignored unless resumes is set.
-type resumePoint struct {
-	after   uint64
-	resumes bool
-}
-
 // recordOutcome reports the outcome of an attempt to the planner and releases the memory reserved for it.
 func (q *request) recordOutcome(a *attempt, o dispatch.Outcome) {
 	g := q.gateway
