backend: interim responses neither use up the responses of a request nor extend its wait

Cause: an exchange read at most two heads, interim ones included, so two 1xx heads before the answer gave 'response to another request'; and the wait for the head began anew after each, so a server that sends one now and then was waited for longer. Change: at most two responses and eight interim heads; one due time for all of them.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -30,9 +30,10 @@
 	maxInlineBody = 16 << 10
 	// ackTimeout closes a connection whose peer no longer acknowledges data, for instance after a network failure.
 	ackTimeout = 700 * time.Millisecond
-	// maxResponseHeads bounds the response heads that are read for one request, including interim responses and late
-	// responses to earlier requests.
-	maxResponseHeads = 2
+	// maxResponses bounds the responses that are read for one request, including late ones to earlier requests.
+	// maxInterimHeads bounds the interim responses before them, which are skipped.
+	maxResponses    = 2
+	maxInterimHeads = 8
 	// maxDiscard bounds the bytes of a late response that are read and discarded to reach the next response.
 	maxDiscard = 64 << 10
 	// maxHeadBytes bounds the head of a response, which net/http reads without a limit.
@@ -309,9 +310,11 @@
 	} else if err := write(c, r); err != nil {
 		return err
 	}
-	for range maxResponseHeads {
+	// Neither interim responses nor late ones extend the wait for the response.
+	due := x.pool.clock.Now().Add(options.HeadTimeout)
+	for responses, interim := 0, 0; responses < maxResponses && interim <= maxInterimHeads; {
 		c.head.begin()
-		if err := x.Wait(options.HeadTimeout, options.Extend); err != nil {
+		if err := x.Wait(max(due.Sub(x.pool.clock.Now()), 0), options.Extend); err != nil {
 			return err
 		}
 		resp, err := http.ReadResponse(c.reader, r) //nolint:bodyclose // Done closes the connection, and the body with it.
@@ -320,8 +323,10 @@
 		}
 		c.head.end()
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			interim++
 			continue
 		}
+		responses++
 		if options.Matches == nil || options.Matches(resp, c.reused) {
 			x.Response = resp
 			return nil
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -88,6 +88,18 @@
 	}
 }
 
+// dripInterim writes an interim response every 0.4 s.
+func dripInterim(conn net.Conn, r *http.Request) bool {
+	_, _ = io.Copy(io.Discard, r.Body)
+	for range 6 {
+		time.Sleep(400 * time.Millisecond)
+		if _, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // Guards against a response head without an end that fills the memory or takes longer than the head may take.
 func TestEndlessHead(t *testing.T) {
 	cases := map[string]struct{ start, repeated string }{
@@ -136,6 +148,8 @@
 		"no response":                 {script{neverRespond}, "b", [2]backend.ErrorKind{backend.KindTimeout, backend.KindTimeout}, 2},
 		"invalid HTTP":                {script{respond("bytes\r\n\r\n")}, "b", [2]backend.ErrorKind{backend.KindConnectionLost, backend.KindConnectionLost}, 2},
 		"interim response":            {script{respond("HTTP/1.1 100 Continue\r\n\r\n" + okResponse), respond(okResponse)}, "b", [2]backend.ErrorKind{}, 1},
+		"several interim responses":   {script{respond(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 5) + okResponse), respond(okResponse)}, "b", [2]backend.ErrorKind{}, 1},
+		"interim responses that drip": {script{dripInterim}, "b", [2]backend.ErrorKind{backend.KindTimeout, backend.KindTimeout}, 2},
 		"long body":                   {script{respond(okResponse), respond(okResponse)}, strings.Repeat("b", 100<<10), [2]backend.ErrorKind{}, 1},
 		"response before the body is read": {script{func(conn net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, okResponse)
@@ -170,6 +184,7 @@
 				}
 				assert.Equal(t, dials, tc.dials)
 				pool.Close()
+				time.Sleep(time.Second) // scripts that pause find their connection closed
 			})
 		})
 	}
