--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -35,11 +35,12 @@
 
 // fleet runs many gateways with peering, a store and no backend servers, in memory and on virtual time.
 type fleet struct {
-	test     *testing.T
-	store    *direct.Store
-	stores   []*platform.Store
-	network  *standin.PacketNetwork
-	gateways []*gateway.Gateway
+	test    *testing.T
+	store   *direct.Store
+	stores  []*platform.Store
+	network *standin.PacketNetwork
+	// gateways holds nil for gateways that have not started; their tasks start them beside the test.
+	gateways []atomic.Pointer[gateway.Gateway]
 	clients  []*http.Client
 	// storeCut holds the gateways that are cut off from the store.
 	storeCut []atomic.Bool
@@ -55,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
 			test: t, store: direct.NewStore(clock.RealClock{}), network: standin.NewPacketNetwork(2 * time.Millisecond),
-			gateways: make([]*gateway.Gateway, o.gateways), storeCut: make([]atomic.Bool, o.gateways),
+			gateways: make([]atomic.Pointer[gateway.Gateway], o.gateways), storeCut: make([]atomic.Bool, o.gateways),
 		}
 		f.store.SetPageSize(500)
 		f.publish(callerKey)
@@ -93,8 +94,8 @@
 		fn(f)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		for i, g := range f.gateways {
-			assert.NilError(t, g.Stop(ctx))
+		for i := range f.gateways {
+			assert.NilError(t, f.gateways[i].Load().Stop(ctx))
 			f.clients[i].CloseIdleConnections()
 			f.stores[i].Close()
 		}
@@ -111,7 +112,7 @@
 		gateway.WithListeners(callers, standin.NewMemoryListener(readyAddress)),
 		gateway.WithDialer(func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, net.ErrClosed }))
 	assert.Check(f.test, err)
-	f.gateways[i] = g
+	f.gateways[i].Store(g)
 }
 
 func (f *fleet) publish(keys ...string) {
@@ -131,8 +132,8 @@
 // ready returns how many gateways serve keyed requests, by their readiness.
 func (f *fleet) ready() int {
 	n := 0
-	for _, g := range f.gateways {
-		if g != nil && g.Ready() {
+	for i := range f.gateways {
+		if g := f.gateways[i].Load(); g != nil && g.Ready() {
 			n++
 		}
 	}
@@ -142,8 +143,8 @@
 // knowing returns how many gateways know a number of backend servers.
 func (f *fleet) knowing(servers int) int {
 	n := 0
-	for _, g := range f.gateways {
-		if g != nil && g.Status().BackendServers == servers {
+	for i := range f.gateways {
+		if g := f.gateways[i].Load(); g != nil && g.Status().BackendServers == servers {
 			n++
 		}
 	}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -71,7 +71,7 @@
 				}
 				time.Sleep(8 * time.Second)
 				for _, i := range tc.served {
-					assert.Assert(t, f.gateways[i].Ready(), "gateway %d", i)
+					assert.Assert(t, f.gateways[i].Load().Ready(), "gateway %d", i)
 				}
 				f.publish("new-key")
 				for range 5 {
@@ -79,7 +79,7 @@
 				}
 				for i := range gateways {
 					status := f.status(i, callerKey)
-					assert.Assert(t, status == 401 || status == 503 && !f.gateways[i].Ready(), "status %d of gateway %d", status, i)
+					assert.Assert(t, status == 401 || status == 503 && !f.gateways[i].Load().Ready(), "status %d of gateway %d", status, i)
 				}
 			})
 		})
