dispatch: short prompts that no engine will begin in time are refused on arrival

Ruled out: the same for requests that were sent or held before, which may have run. Figures: TestShortRefusedAtOnce, two cases red before.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -53,7 +53,7 @@
 	case profile.Engine == nil:
 		return p.placePlain(candidates)
 	case profile.Short():
-		return p.placeShort(profile, candidates)
+		return p.placeShort(now, profile, candidates)
 	}
 	return p.placeLong(now, profile, candidates, len(servers))
 }
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -311,3 +311,44 @@
 		})
 	}
 }
+
+// Guards against short prompts that wait at engines until their callers give up, although it is known on arrival that no
+// engine begins the answer before that.
+func TestShortRefusedAtOnce(t *testing.T) {
+	const callerWait = 2400 * time.Millisecond
+	full := dispatch.Load{Short: engine.Slots + 20}
+	late := dispatch.Load{Short: 1, PendingPrefill: 3 * time.Second}
+	free := dispatch.Load{Short: engine.Slots + 2}
+	cases := map[string]struct {
+		loads   []dispatch.Load
+		change  func(*dispatch.RequestProfile)
+		refused bool
+	}{
+		"all engines have long queues":   {[]dispatch.Load{full, full, full}, nil, true},
+		"all engines prefill for long":   {[]dispatch.Load{late, late, late}, nil, true},
+		"one engine is in time":          {[]dispatch.Load{full, late, free}, nil, false},
+		"the request was sent before":    {[]dispatch.Load{full, full}, func(r *dispatch.RequestProfile) { r.Admitted = true }, false},
+		"the caller waits without limit": {[]dispatch.Load{full, full}, func(r *dispatch.RequestProfile) { r.Deadline = time.Time{} }, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := newPlanner(1), newServers(len(tc.loads))
+			for i := range tc.loads {
+				tc.loads[i].Key = dispatch.BackendKey(list[i])
+			}
+			p.SetPeerLoads(start, "other", tc.loads)
+			profile := shortProfile()
+			profile.Deadline = start.Add(callerWait)
+			if tc.change != nil {
+				tc.change(&profile)
+			}
+			placement := p.Place(start, profile, list, nil)
+			refusal, refused := placement.(dispatch.NoPlacement)
+			assert.Equal(t, refused, tc.refused, "%#v", placement)
+			if refused {
+				assert.Equal(t, refusal.Reason, dispatch.Overloaded)
+				assert.Assert(t, refusal.RetryAfter >= 500*time.Millisecond, "%v", refusal.RetryAfter)
+			}
+		})
+	}
+}
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -24,15 +24,25 @@
 // placeShort packs short prompts on engines that already have some, up to a limit, then on an engine without, then on
 // fuller engines, and otherwise chooses the engine that will be free first. Each gateway tries the engines in an
 // order of its own, so that gateways that have not yet received each other's latest reports rarely choose the same
-// engine.
-func (p *Planner) placeShort(profile RequestProfile, candidates []candidate) Placement {
+// engine. A request that has just arrived is refused if no engine is expected to begin its answer before its caller gives
+// up.
+func (p *Planner) placeShort(now time.Time, profile RequestProfile, candidates []candidate) Placement {
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	best := p.packedEngine(profile, candidates)
 	if best < 0 {
 		best = p.earliestEngine(profile, candidates)
 	}
 	c := &candidates[best]
-	return Send{Server: c.server, Expected: c.total.PendingPrefill + profile.PrefillTime() + iterationTime, Seen: c.total}
+	expected := c.total.PendingPrefill + c.slotWait(profile) + profile.PrefillTime() + iterationTime
+	if over := now.Add(expected).Sub(profile.Deadline); over > 0 && !profile.Deadline.IsZero() && !profile.Admitted {
+		return NoPlacement{Reason: Overloaded, RetryAfter: max(over, minOverloadedRetry)}
+	}
+	return Send{Server: c.server, Expected: expected, Seen: c.total}
+}
+
+// slotWait returns the time that one more request waits for a slot of the engine.
+func (c *candidate) slotWait(profile RequestProfile) time.Duration {
+	return time.Duration(max(c.requests()-profile.Engine.Slots+1, 0)) * queuedRequestCost
 }
 
 // packedEngine returns the index of the first engine with short prompts and room for one more, else of the first
@@ -73,9 +83,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		cost := c.total.PendingPrefill + time.Duration(c.requests())*iterationTime/8
-		if over := c.requests() - profile.Engine.Slots + 1; over > 0 {
-			cost += time.Duration(over) * queuedRequestCost
-		}
+		cost += c.slotWait(profile)
 		if profile.Engine.KVCacheTokens > 0 && !fits(profile, c, profile.Prompt+profile.Answer) {
 			cost += time.Second
 		}
