link: the token of a cache is sent in clear only where links are

Cause: FetchCache did not check where it sends its token, so without TLS it went in clear to any address, which Dial and Accept refuse; and any error status was reported as a connection that has ended. Change: FetchCache refuses as Dial does; error statuses have the kind refused. Figures: TestFetchCache, three cases red before.

--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -297,3 +297,43 @@
 		})
 	}
 }
+
+// Guards against tokens of caches that are sent in clear to addresses that other machines can reach, and against a refused
+// request for a cache that is reported as a connection that has ended.
+func TestFetchCache(t *testing.T) {
+	tests := map[string]struct {
+		address   string
+		opts      []Option
+		status    int
+		kind      ErrorKind
+		plaintext bool // whether the error says that plaintext is not allowed
+	}{
+		"loopback":                 {"127.0.0.1:1", nil, http.StatusOK, "", false},
+		"network":                  {"10.0.0.1:1", nil, http.StatusOK, KindDial, true},
+		"network, allowed":         {"10.0.0.1:1", []Option{WithPlaintext()}, http.StatusOK, "", false},
+		"network with TLS":         {"10.0.0.1:1", []Option{WithTLS()}, http.StatusOK, "", false},
+		"the source has no cache":  {"127.0.0.1:1", nil, http.StatusNotFound, KindRefused, false},
+		"the token is not allowed": {"127.0.0.1:1", nil, http.StatusForbidden, KindRefused, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sent := 0
+			answer := roundTripper(func(r *http.Request) (*http.Response, error) {
+				sent++
+				return &http.Response{StatusCode: tt.status, Body: http.NoBody, Request: r}, nil
+			})
+			opts := append([]Option{WithHTTPClient(&http.Client{Transport: answer})}, tt.opts...)
+			body, err := FetchCache(t.Context(), CacheSource{Address: netip.MustParseAddrPort(tt.address), Token: "secret"}, opts...)
+			assert.Equal(t, errorKind(err), tt.kind)
+			assert.Equal(t, errors.Is(err, errPlaintext), tt.plaintext)
+			assert.Equal(t, sent == 0, tt.plaintext)
+			if err == nil {
+				assert.NilError(t, body.Close())
+			}
+		})
+	}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -22,6 +22,8 @@
 	KindOverflow ErrorKind = "overflow"
 	// KindClosed means that the connection has ended.
 	KindClosed ErrorKind = "closed"
+	// KindRefused means that the peer answered a request with an error status.
+	KindRefused ErrorKind = "refused"
 )
 
 // Error reports a failed operation on a connection or a message.
--- a/internal/link/group.go
+++ b/internal/link/group.go
@@ -84,12 +84,15 @@
 const CachePath = "/cache"
 
 // FetchCache requests the cache that a source holds and returns its body, which the caller must close. It takes the
-// same options as Dial.
+// same options as Dial, and like Dial it sends the token of the source only over TLS, unless plaintext is allowed. The error has
+// KindDial if the source was not reached, and KindRefused if it answered with another status than 200.
 func FetchCache(ctx context.Context, source CacheSource, opts ...Option) (io.ReadCloser, error) {
 	o := newOptions(opts)
 	scheme := "http"
 	if o.scheme == "wss" {
 		scheme = "https"
+	} else if !o.allowsPlaintext(source.Address) {
+		return nil, &Error{Op: "fetch cache", Kind: KindDial, Err: errPlaintext}
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+"://"+source.Address.String()+CachePath, nil)
 	if err != nil {
@@ -102,7 +105,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
-		return nil, &Error{Op: "fetch cache", Kind: KindClosed, Err: errors.Errorf("status %d", response.StatusCode)}
+		return nil, &Error{Op: "fetch cache", Kind: KindRefused, Err: errors.Errorf("status %d", response.StatusCode)}
 	}
 	return response.Body, nil
 }
