gateway, dispatch: a short prompt that waits in a reported queue is not cut for its engine's silence

Change: at the end of the wait for a first event, a short prompt waits on while the present load of its engine, as all gateways have reported it, explains the silence, and no gateway avoids the engine after a loss.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -17,6 +17,16 @@
 	avoidUntil map[string]time.Time
 }
 
+// avoided reports whether one of the gateways avoids the backend server.
+func (l *peerLoad) avoided(now time.Time) bool {
+	for _, until := range l.avoidUntil {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetPeerLoads replaces the loads reported by another gateway.
 func (p *Planner) SetPeerLoads(now time.Time, gateway string, loads []Load) {
 	p.removePeer(gateway)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -95,14 +95,9 @@
 			without.cold = true
 			continue
 		}
-		c := candidate{server: s, state: st, total: st.own, rank: p.rank(s, st.key)}
-		c.avoid = now.Before(st.avoidUntil) || float64(st.errorRate) > mean+errorRateMargin
-		if peer := p.peerLoads[st.key]; peer != nil {
-			c.total.add(peer.sum, 1)
-			for _, until := range peer.avoidUntil {
-				c.avoid = c.avoid || now.Before(until)
-			}
-		}
+		c := candidate{server: s, state: st, rank: p.rank(s, st.key)}
+		c.total, c.avoid = p.groupLoad(now, st)
+		c.avoid = c.avoid || float64(st.errorRate) > mean+errorRateMargin
 		if !c.avoid {
 			healthy++
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,7 @@
 	helpers     []*roster.Server
 	leases      *leases
 	placementID dispatch.PlacementID
+	placedAt    time.Time
 	expected    time.Duration
 	load        dispatch.Load
 	joint       bool
@@ -129,7 +130,7 @@
 		return nil, 0
 	}
 	q.sends++
-	a := &attempt{placementID: placementID}
+	a := &attempt{placementID: placementID, placedAt: now}
 	switch p := placement.(type) {
 	case dispatch.Hold:
 		q.sends--
--- /dev/null
+++ b/internal/gateway/queued_test.go
@@ -0,0 +1,91 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/gateway"
+	"berylward.example/berylward/internal/peering"
+	"berylward.example/berylward/internal/standin"
+	"berylward.example/berylward/internal/standin/direct"
+)
+
+var (
+	ownPeerAddress   = netip.MustParseAddrPort("127.0.0.1:7001")
+	otherPeerAddress = netip.MustParseAddrPort("127.0.0.1:7002")
+)
+
+// reportLoads sends a load at all engines as the state of another gateway, ten times a second.
+func (h *harness) reportLoads(conn net.PacketConn, load dispatch.Load, times int) {
+	for i := range times {
+		s := peering.State{Incarnation: 1, Sequence: uint64(i + 1), Zone: "banos"}
+		for _, b := range h.backends {
+			if b.Server.Service == "pool" {
+				load.Key = dispatch.BackendKey(&b.Server)
+				s.Loads = append(s.Loads, load)
+			}
+		}
+		h.sendReport(conn, s)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// sendReport sends a state to the gateway under test.
+func (h *harness) sendReport(conn net.PacketConn, s peering.State) {
+	data, err := peering.Encode(s)
+	assert.NilError(h.test, err)
+	proof, err := peering.EncodeProof(peering.Proof{})
+	assert.NilError(h.test, err)
+	_, err = conn.WriteTo(append(data, proof...), net.UDPAddrFromAddrPort(ownPeerAddress))
+	assert.NilError(h.test, err)
+}
+
+// Guards against streams that wait in the queue of an engine and are cut for their silence, because this gateway did not know
+// of the requests before them when it sent them. After all gateways had restarted, hundreds lost their place within some
+// milliseconds, went to the same engines again and used up the retry limit.
+func TestQueuedStreamNotCut(t *testing.T) {
+	const pause = 1800 * time.Millisecond
+	cases := map[string]struct {
+		load dispatch.Load
+		runs int
+	}{
+		"others have filled the engine":    {dispatch.Load{Short: testEngine.Slots + 12}, 1},
+		"others have prompts there":        {dispatch.Load{Long: 2, PendingPrefill: 1200 * time.Millisecond}, 1},
+		"others have few requests there":   {dispatch.Load{Short: 3}, 2},
+		"others avoid the engine":          {dispatch.Load{Short: testEngine.Slots + 12, AvoidFor: time.Second}, 2},
+		"others use all slots and no more": {dispatch.Load{Short: testEngine.Slots, PendingPrefill: 40 * time.Millisecond}, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var other net.PacketConn
+			// The network belongs to the virtual time of the harness.
+			withPeers := func(g *gateway.Gateway) {
+				network := standin.NewPacketNetwork(2 * time.Millisecond)
+				other = network.Listen(otherPeerAddress)
+				gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
+			}
+			withHarness(t, func(h *harness) {
+				h.setFaults("pool", direct.Pauses{After: 0, For: pause}, direct.Pauses{After: 0, For: pause})
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					time.Sleep(150 * time.Millisecond)
+					h.reportLoads(other, tc.load, 15)
+				}()
+				got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
+				<-done
+				assert.NilError(t, other.Close())
+				assert.Equal(t, got.Status, 200)
+				assert.Assert(t, got.complete)
+				assert.Equal(t, got.body, expectedStream(got.id, 1, 5))
+				assert.Equal(t, len(h.runs(got.id)), tc.runs)
+			}, withPeers)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,7 @@
 
 // extendFunc returns the function that decides, at the end of each wait for a silent attempt, whether to wait longer. It
 // waits longer if the request could not be sent again, and for a stream also while the backend server makes progress
-// with other requests.
+// with other requests, or while its load explains that the stream has not begun.
 func (q *request) extendFunc(a *attempt) func() time.Duration {
 	isStream := q.admitted.Route.Kind == route.Stream
 	return func() time.Duration {
@@ -53,13 +53,24 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if !q.maySendElsewhere(now, a) || isStream && g.planner.MadeProgress(now, a.placementID) {
+		if !q.maySendElsewhere(now, a) || isStream && (g.planner.MadeProgress(now, a.placementID) || q.isQueued(now, a)) {
 			return min(extendInterval, remaining)
 		}
 		return 0
 	}
 }
 
+// isQueued reports whether the silent attempt of a short prompt probably waits in the queue of its engine, by what other
+// gateways have reported since it was sent. Sent elsewhere, it would lose its place. isQueued must be called with the gateway's
+// lock held.
+func (q *request) isQueued(now time.Time, a *attempt) bool {
+	if q.profile.Engine == nil || !q.profile.Short() {
+		return false
+	}
+	wait := q.gateway.planner.ExpectedWait(now, a.placementID, q.profile.Engine)
+	return now.Sub(a.placedAt) < time.Duration(firstWaitFactor*float64(wait))
+}
+
 // firstWait returns how long an attempt may wait for its first event.
 func (q *request) firstWait(a *attempt) time.Duration {
 	remaining := q.deadline.Sub(q.gateway.clock.Now())
