gateway, dispatch, peering: the status shows the age of reports by zone and the heavy prompts of all gateways

Cause: on call could not see live how old the gateways' knowledge of each other is, nor how long the queue of heavy prompts is; both are what placement goes by in large groups. Figures: TestStatusOfGroup. Conclusion: no behaviour changes.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -139,6 +139,21 @@
 	p.queue.peers[gateway] = q
 }
 
+// HeldHeavy returns how many heavy prompts all gateways hold, as far as they have reported it, and their prefill time on one
+// engine in total.
+func (p *Planner) HeldHeavy(now time.Time) (prompts int, prefill time.Duration) {
+	p.expirePeers(now)
+	for _, h := range p.queue.held {
+		prompts, prefill = prompts+1, prefill+h.prefill
+	}
+	for _, peer := range p.queue.peers {
+		for _, h := range peer.held {
+			prompts, prefill = prompts+1, prefill+h.prefill
+		}
+	}
+	return prompts, prefill
+}
+
 // heavyShare returns the part of heavy prompts in the prefill that has arrived at all gateways for a service.
 func (q *longQueue) heavyShare(now time.Time, service Key) float64 {
 	var heavy, total float64
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -89,3 +89,27 @@
 		})
 	}
 }
+
+// Guards against a status from which an engineer on call cannot see how old the reports of other gateways are, and how many
+// heavy prompts wait.
+func TestStatusOfGroup(t *testing.T) {
+	var other net.PacketConn
+	withPeers := func(g *gateway.Gateway) {
+		network := standin.NewPacketNetwork(2 * time.Millisecond)
+		other = network.Listen(otherPeerAddress)
+		gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
+	}
+	withHarness(t, func(h *harness) {
+		assert.Equal(t, len(h.gateway.Status().ReportAges), 0)
+		held := dispatch.HeldPrompt{Service: dispatch.ServiceKey("pool"), Waited: time.Second, Prefill: 7 * time.Second}
+		h.sendReport(other, peering.State{Incarnation: 1, Sequence: 1, Zone: "banos", Held: []dispatch.HeldPrompt{held, held}})
+		time.Sleep(1500 * time.Millisecond)
+		status := h.gateway.Status()
+		assert.Equal(t, status.ReportAges["banos"], int64(1498))
+		assert.Equal(t, status.HeldHeavy, 2)
+		assert.Equal(t, status.HeldPrefill, int64(14000))
+		time.Sleep(time.Second)
+		assert.Equal(t, h.gateway.Status().HeldHeavy, 0) // the report is too old
+		assert.NilError(t, other.Close())
+	}, withPeers)
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -14,6 +14,12 @@
 	BackendServers int    `json:"backend-servers"`
 	Gateways       int    `json:"gateways"`
 	Connections    uint64 `json:"connections-opened"`
+	// ReportAges is by zone the age of the oldest report of another gateway, in milliseconds.
+	ReportAges map[string]int64 `json:"report-ages-ms,omitempty"`
+	// HeldHeavy is the number of heavy prompts that all gateways hold, HeldPrefill their prefill time on one engine in
+	// milliseconds.
+	HeldHeavy   int   `json:"held-heavy"`
+	HeldPrefill int64 `json:"held-prefill-ms"`
 	// Unavailable lists the backend servers that get no requests because they said that they leave or are busy.
 	Unavailable []UnavailableServer `json:"unavailable,omitempty"`
 }
@@ -30,7 +36,16 @@
 		s.TableVersion, s.TableAge = t.Version, int64(g.currentTable.ProofAge(g.boot.Now())/time.Millisecond)
 	}
 	s.BackendServers, s.Gateways = g.roster.Len(), g.group.Size()
-	s.Unavailable = g.unavailableServers(g.clock.Now())
+	now := g.clock.Now()
+	for zone, age := range g.group.ReportAges(now) {
+		if s.ReportAges == nil {
+			s.ReportAges = map[string]int64{}
+		}
+		s.ReportAges[zone] = age.Milliseconds()
+	}
+	heldHeavy, heldPrefill := g.planner.HeldHeavy(now)
+	s.HeldHeavy, s.HeldPrefill = heldHeavy, heldPrefill.Milliseconds()
+	s.Unavailable = g.unavailableServers(now)
 	return s
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -217,6 +217,17 @@
 	return rank
 }
 
+// ReportAges returns by zone the time since the last report of the member that has been silent for longest.
+func (g *Group) ReportAges(now time.Time) map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for _, m := range g.members {
+		if !m.receivedAt.IsZero() {
+			ages[m.zone] = max(ages[m.zone], now.Sub(m.receivedAt))
+		}
+	}
+	return ages
+}
+
 // Complete reports whether the gateways that accept requests are probably all known.
 func (g *Group) Complete(now time.Time) bool {
 	if g.startedAt.IsZero() {
