sidecar: the time of a reservation counts from its arrival, also while it waits for memory

Cause: a reservation that waits for memory that is being freed was handled anew when it was granted, and its deadline was counted from then, so memory could stay reserved after the request's own deadline. Change: the deadline is kept with the waiting reservation; one whose time is over is refused. Figures: TestMemberDeadline covers the lease and the deadline after a wait; it needs the new function, so it has no run on the old code.

--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -69,10 +69,19 @@
 // isCacheSource reports whether the stream only keeps the cache of a segment for other members.
 func (s *stream) isCacheSource() bool { return s.member != nil && s.member.readers > 0 }
 
-// pendingReserve is a reservation that waits for memory that is being freed.
+// pendingReserve is a reservation that has arrived and may wait for memory that is being freed.
 type pendingReserve struct {
 	conn    *link.Conn
 	message *link.Reserve
+	// deadline is counted from the arrival of the message, also if the reservation waits.
+	deadline time.Time
+}
+
+// newMember returns the member whose lease is granted at a time.
+func (p pendingReserve) newMember(now time.Time) *member {
+	return &member{
+		id: p.message.ID.AnswerID(), reserve: p.message, conn: p.conn, deadline: p.deadline, leaseEnd: earlier(now.Add(memberLease), p.deadline),
+	}
 }
 
 // memberFreed means that the memory of an ended member can be released: the engine does not run its stream, or the call
@@ -107,7 +116,12 @@
 // handleReserve grants a lease on memory and window or refuses it. Reservations are not queued, because the members
 // that are already reserved would have to wait too. The only exception is one that waits for memory being freed.
 func (b *backend) handleReserve(now time.Time, conn *link.Conn, r *link.Reserve) {
-	id := r.ID.AnswerID()
+	b.reserve(now, pendingReserve{conn: conn, message: r, deadline: now.Add(r.Remaining)})
+}
+
+// reserve is handleReserve for a reservation that may have waited.
+func (b *backend) reserve(now time.Time, p pendingReserve) {
+	conn, r, id := p.conn, p.message, p.message.ID.AnswerID()
 	if m := b.members[id]; m != nil {
 		m.conn = conn
 		m.reportState(now)
@@ -130,6 +144,10 @@
 		b.refuse(conn, r.ID, answer.ReasonBadRequest, 0)
 		return
 	}
+	if !now.Before(p.deadline) {
+		b.refuse(conn, r.ID, answer.ReasonDeadline, 0)
+		return
+	}
 	if b.scheduler.NotRun(id) {
 		b.refuse(conn, r.ID, answer.ReasonCancelled, 0)
 		return
@@ -140,12 +158,11 @@
 		b.refuse(conn, r.ID, answer.ReasonQuarantined, q.Until.Sub(now))
 		return
 	}
-	m := &member{id: id, reserve: r, conn: conn, deadline: now.Add(r.Remaining)}
-	m.leaseEnd = earlier(now.Add(memberLease), m.deadline)
+	m := p.newMember(now)
 	windowTokens := b.memberWindowTokens(r.Tokens)
 	if !b.window.Allow(windowTokens) || !b.reserveMemory(now, m) {
 		if b.freeingMembers > 0 {
-			b.pendingReserves = append(b.pendingReserves, pendingReserve{conn, r})
+			b.pendingReserves = append(b.pendingReserves, p)
 			return
 		}
 		b.refuse(conn, r.ID, answer.ReasonOverloaded, housekeepingInterval)
@@ -400,7 +417,7 @@
 	waiting := b.pendingReserves
 	b.pendingReserves = nil
 	for _, p := range waiting {
-		b.handleReserve(now, p.conn, p.message)
+		b.reserve(now, p)
 	}
 }
 
--- a/internal/sidecar/validation_test.go
+++ b/internal/sidecar/validation_test.go
@@ -46,3 +46,24 @@
 		})
 	}
 }
+
+// Guards against a reservation that has waited for memory and then holds it longer than its request lasts, because its time
+// was counted from the grant.
+func TestMemberDeadline(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	tests := map[string]struct {
+		remaining, waited, deadline, lease time.Duration // deadline and lease are counted from the arrival
+	}{
+		"granted at once":        {time.Minute, 0, time.Minute, memberLease},
+		"waited for memory":      {time.Minute, 2 * time.Second, time.Minute, 2*time.Second + memberLease},
+		"waited, little is left": {3 * time.Second, 2 * time.Second, 3 * time.Second, min(3*time.Second, 2*time.Second+memberLease)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			message := &link.Reserve{Remaining: tt.remaining}
+			m := pendingReserve{message: message, deadline: arrived.Add(tt.remaining)}.newMember(arrived.Add(tt.waited))
+			assert.Equal(t, m.deadline.Sub(arrived), tt.deadline)
+			assert.Equal(t, m.leaseEnd.Sub(arrived), tt.lease)
+		})
+	}
+}
