sidecar: contexts of calls to plain backend servers are released

Cause: startBackendCall made a context and replaced it by one with a timeout; the first was not canceled before the sidecar stopped. Change: one context for each call.

--- a/internal/sidecar/streams.go
+++ b/internal/sidecar/streams.go
@@ -137,9 +137,12 @@
 
 // startBackendCall starts the goroutine that runs the request on the backend server.
 func (b *backend) startBackendCall(s *stream) {
-	ctx, cancel := context.WithCancel(b.tomb.Context(context.Background()))
+	ctx := b.tomb.Context(context.Background())
+	var cancel context.CancelFunc
 	if s.offer.Call != nil {
 		ctx, cancel = context.WithTimeout(ctx, s.deadline.Sub(b.clock.Now())+callGracePeriod)
+	} else {
+		ctx, cancel = context.WithCancel(ctx)
 	}
 	s.cancel = cancel
 	call := b.backendCall(s)
