entry: failures name the types and fields of JSON instead of those of the program

Cause: the failure for a field of the wrong type carried Go's names, such as int64 and sampling.temperature. Change: names of JSON types, and paths without embedded structs.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"time"
 
@@ -50,8 +51,8 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readJSON decodes a request body into target. If a field has the wrong type, the failure names the field.
-func readJSON(w http.ResponseWriter, r *http.Request, target any) *failure {
+// readJSON decodes the body of a completion into target. If a field has the wrong type, the failure names the field.
+func readJSON(w http.ResponseWriter, r *http.Request, target *completion) *failure {
 	text, rejection := readBody(w, r)
 	if rejection != nil {
 		return rejection
@@ -59,13 +60,44 @@
 	if err := json.Unmarshal(text, target); err != nil {
 		var typeError *json.UnmarshalTypeError
 		if errors.As(err, &typeError) {
-			return newRejection(answer.ReasonBadRequest, typeError.Field, "field %q: want %s, got %s", typeError.Field, typeError.Type, typeError.Value)
+			field := jsonField(typeError.Field)
+			return newRejection(answer.ReasonBadRequest, field, "field %q: want %s, got %s", field, jsonType(typeError.Type), typeError.Value)
 		}
 		return newRejection(answer.ReasonBadRequest, "", "the body is not valid JSON: %v", err)
 	}
 	return nil
 }
 
+// jsonField returns the path of a field of a completion as callers know it, without the names of embedded structs.
+func jsonField(path string) string {
+	t := reflect.TypeFor[completion]()
+	for i := range t.NumField() {
+		if f := t.Field(i); f.Anonymous {
+			path = strings.TrimPrefix(path, f.Name+".")
+		}
+	}
+	return path
+}
+
+// jsonType returns the name of the JSON type that is decoded into a Go type.
+func jsonType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64, reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "integer"
+	case reflect.Float32, reflect.Float64:
+		return "number"
+	case reflect.String:
+		return "string"
+	case reflect.Slice, reflect.Array:
+		return "array"
+	case reflect.Pointer:
+		return jsonType(t.Elem())
+	}
+	return "object"
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
 	// The deadline applies to the body only. The connection is read while the answer is streamed, to notice when the
 	// caller disconnects.
