telemetry: log levels of slices that do not exist are refused

Cause: help texts and pages named a slice link that no logger has, and any name was accepted without an effect. Change: the names of all loggers are known and others refused with the list; the example is sidecar=2. The expected text in TestSettings changes with the example.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -49,7 +49,7 @@
 	s.stringVar(&base, "base", "a file", "base file of the declarations; the example when empty")
 	s.stringVar(&overlay, "overlay", "a file", "overlay of the declarations; the Cuenca example when empty")
 	s.boolVar(&anyPorts, "any-ports", "let booking workers use free ports instead of their declared addresses")
-	s.stringVar(&logLevels, "log-levels", "slice=verbosity pairs, such as link=2,default=0", "log verbosity by slice, as named in the slice field of log lines")
+	s.stringVar(&logLevels, "log-levels", "slice=verbosity pairs, such as sidecar=2,default=0", "log verbosity by slice, as named in the slice field of log lines")
 	s.stringVar(&traces, "traces", "stdout, file:PATH or an OTLP/HTTP URL", "export target of trace spans; no export when empty")
 	s.checks = append(s.checks, func() *InvalidSetting {
 		if !listen.Addr().IsLoopback() {
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -46,7 +46,7 @@
 	s.stringVar(&p.region, "region", "a name", "region of this instance")
 	s.textVar(&p.admin, "admin-listen", addressFormat, "listen address for metrics and status; disabled when empty")
 	s.textVar(&p.platform, "platform", addressFormat, "address of the configuration service and instance list")
-	s.stringVar(&p.logLevels, "log-levels", "slice=verbosity pairs, such as link=2,default=0", "log verbosity by slice, as named in the slice field of log lines")
+	s.stringVar(&p.logLevels, "log-levels", "slice=verbosity pairs, such as sidecar=2,default=0", "log verbosity by slice, as named in the slice field of log lines")
 	s.stringVar(&p.traces, "traces", "stdout, file:PATH or an OTLP/HTTP URL", "export target of trace spans; no export when empty")
 	s.stringVar(&p.certificate, "tls-certificate", "a file", "certificate for links, in PEM")
 	s.stringVar(&p.key, "tls-key", "a file", "private key for links, in PEM")
@@ -65,7 +65,7 @@
 func checkTelemetry(s *settings, logLevels, traces *string) {
 	s.checks = append(s.checks, func() *InvalidSetting {
 		if _, err := telemetry.NewLogs(io.Discard, *logLevels); err != nil {
-			return &InvalidSetting{Setting: "log-levels", Value: *logLevels, Expected: "slice=verbosity pairs, such as link=2,default=0"}
+			return &InvalidSetting{Setting: "log-levels", Value: *logLevels, Expected: "slice=verbosity pairs, such as sidecar=2,default=0"}
 		}
 		return nil
 	}, func() *InvalidSetting {
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -42,7 +42,7 @@
 			want: map[string]string{
 				"policy":     "one of affinity, random, round-robin, least-requests, single-queue",
 				"stop-delay": "a duration such as 500ms or 2m", "stop-timeout": "a duration such as 500ms or 2m",
-				"allow-plaintext": "a boolean", "log-levels": "slice=verbosity pairs, such as link=2,default=0",
+				"allow-plaintext": "a boolean", "log-levels": "slice=verbosity pairs, such as sidecar=2,default=0",
 				"traces": "stdout, file:PATH or an OTLP/HTTP URL", "seeds": "addresses separated by commas",
 			},
 		},
--- a/internal/telemetry/logs.go
+++ b/internal/telemetry/logs.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -44,18 +45,26 @@
 	levels map[string]int
 }
 
+// logSlices are the names of the loggers of all processes, and default, which stands for those that are not listed.
+var logSlices = []string{"command", "default", "entry", "gateway", "klog", "sidecar"}
+
 // NewLogs returns Logs that write JSON lines to out. levels is a comma-separated list of slice=verbosity, such as
 // "sidecar=2,default=0". A slice that is not listed has the verbosity of default, which is 0 if absent. Libraries that
-// log through klog write to out as well, under the slice klog.
+// log through klog write to out as well, under the slice klog. NewLogs returns an Error of KindSetting for a slice that
+// does not exist or a verbosity that is not a number from 0.
 func NewLogs(out io.Writer, levels string) (*Logs, error) {
 	l := &Logs{out: out, levels: map[string]int{}}
 	for _, field := range strings.FieldsFunc(levels, func(r rune) bool { return r == ',' }) {
 		name, value, ok := strings.Cut(field, "=")
 		level, err := strconv.Atoi(value)
 		if !ok || err != nil || level < 0 {
-			return nil, &Error{Op: "logs", Kind: KindSetting, Err: fmt.Errorf("%q: want slice=verbosity, such as link=2", field)}
+			return nil, &Error{Op: "logs", Kind: KindSetting, Err: fmt.Errorf("%q: want slice=verbosity, such as sidecar=2", field)}
+		}
+		name = strings.TrimSpace(name)
+		if !slices.Contains(logSlices, name) {
+			return nil, &Error{Op: "logs", Kind: KindSetting, Err: fmt.Errorf("%q: want one of %s", name, strings.Join(logSlices, ", "))}
 		}
-		l.levels[strings.TrimSpace(name)] = level
+		l.levels[name] = level
 	}
 	klog.SetSlogLogger(slog.New(l.handler("klog")))
 	return l, nil
