engine: each stream of an engine has a connection of its own

Cause: sidecars started streams on kept connections. When an engine writes an earlier refusal once more on such a connection, net/http takes it for the answer to the next stream, so the entry was told that a stream had not run which ran, and ran it elsewhere. Change: streams are started with a client that keeps no connections; orders and readings of load still share kept ones.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -35,7 +35,7 @@
 func (c *Client) Call(ctx context.Context, method, path string, header http.Header, body []byte, fn func(ResponsePart) error) error {
 	path = absolutePath(path)
 	op := method + " " + path
-	resp, err := c.send(ctx, method, path, header, body)
+	resp, err := c.send(ctx, c.http, method, path, header, body)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -29,8 +29,11 @@
 type Client struct {
 	address netip.AddrPort
 	http    *http.Client
-	clock   clock.PassiveClock
-	dial    dialer
+	// unshared opens a connection for each request and keeps none. On a kept connection, a late or repeated response to an
+	// earlier request would be taken for the answer to the next one.
+	unshared *http.Client
+	clock    clock.PassiveClock
+	dial     dialer
 }
 
 type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -81,6 +84,13 @@
 	clientCopy := *c.http
 	clientCopy.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	c.http = &clientCopy
+	unshared := clientCopy
+	if t, ok := unshared.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		unshared.Transport = t
+	}
+	c.unshared = &unshared
 	return c
 }
 
@@ -108,8 +118,8 @@
 
 func (unrewindableBody) Close() error { return nil }
 
-// send does one HTTP round trip. The error is an *Error; the response may have any status.
-func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+// send does one HTTP round trip with one of the HTTP clients. The error is an *Error; the response may have any status.
+func (c *Client) send(ctx context.Context, client *http.Client, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	op := method + " " + path
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -127,7 +137,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, transportError(op, connected.Load(), err)
 	}
@@ -135,7 +145,7 @@
 }
 
 // sendJSON sends a JSON request to the engine and returns the response if its status is 2xx.
-func (c *Client) sendJSON(ctx context.Context, method, path string, in any) (*http.Response, error) {
+func (c *Client) sendJSON(ctx context.Context, client *http.Client, method, path string, in any) (*http.Response, error) {
 	op := method + " " + path
 	var body []byte
 	if in != nil {
@@ -144,7 +154,7 @@
 			return nil, &Error{Op: op, Kind: KindNotSent, Err: errors.Wrap(err, "encode request")}
 		}
 	}
-	resp, err := c.send(ctx, method, path, http.Header{"Content-Type": {"application/json"}}, body)
+	resp, err := c.send(ctx, client, method, path, http.Header{"Content-Type": {"application/json"}}, body)
 	if err != nil {
 		return nil, err
 	}
@@ -160,7 +170,7 @@
 
 // callJSON sends a JSON request and decodes the JSON response into out, which may be nil.
 func (c *Client) callJSON(ctx context.Context, method, path string, in, out any) error {
-	resp, err := c.sendJSON(ctx, method, path, in)
+	resp, err := c.sendJSON(ctx, c.http, method, path, in)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -163,3 +165,65 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, tc.a.Compare(tc.b), tc.want) })
 	}
 }
+
+// repeatRefusals accepts connections, refuses the first request and runs all others. When a request arrives on the connection
+// that carried the refusal, it writes the refusal once more although it runs the request. ran returns the number of runs.
+func repeatRefusals(listener net.Listener, answer string) (ran func() int) {
+	var mu sync.Mutex
+	requests, runs := 0, 0
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for refused := false; ; refused = true {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			mu.Lock()
+			requests++
+			refuse := requests == 1 || refused
+			if requests > 1 {
+				runs++
+			}
+			mu.Unlock()
+			response := answer
+			if refuse {
+				response = statusResponse(http.StatusServiceUnavailable)
+			}
+			_, _ = conn.Write([]byte(response))
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return runs
+	}
+}
+
+// Guards against an earlier refusal that an engine writes once more on a kept connection, and that is taken for the answer to the
+// next stream: the entry would be told that the stream has not run, and would run it again elsewhere.
+func TestRepeatedRefusal(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	ran := repeatRefusals(listener, okResponse(`{"done":true,"usage":{"prompt-tokens":1,"cached-tokens":0,"generated-tokens":0}}`+"\n"))
+	client := engine.New(netip.MustParseAddrPort(listener.Addr().String()))
+	defer client.Close()
+	_, err = client.RunStream(t.Context(), engine.Stream{ID: "a"}, func(engine.Piece) error { return nil })
+	var failure *engine.Error
+	assert.Assert(t, errors.As(err, &failure) && failure.NotRun(), "%v", err)
+	usage, err := client.RunStream(t.Context(), engine.Stream{ID: "b"}, func(engine.Piece) error { return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, usage.PromptTokens, int64(1))
+	assert.Equal(t, ran(), 1)
+}
