--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -21,6 +21,20 @@
 	otherPeerAddress = netip.MustParseAddrPort("127.0.0.1:7002")
 )
 
+// withPeer is withHarness for a gateway in a group with another one, whose datagrams fn sends through the connection other.
+func withPeer(t *testing.T, fn func(h *harness, other net.PacketConn)) {
+	var other net.PacketConn
+	withHarness(t, func(h *harness) {
+		fn(h, other)
+		assert.NilError(t, other.Close())
+	}, func(g *gateway.Gateway) {
+		// The network belongs to the virtual time of the harness.
+		network := standin.NewPacketNetwork(2 * time.Millisecond)
+		other = network.Listen(otherPeerAddress)
+		gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
+	})
+}
+
 // reportLoads sends a load at all engines as the state of another gateway, ten times a second.
 func (h *harness) reportLoads(conn net.PacketConn, load dispatch.Load, times int) {
 	for i := range times {
@@ -63,14 +77,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			var other net.PacketConn
-			// The network belongs to the virtual time of the harness.
-			withPeers := func(g *gateway.Gateway) {
-				network := standin.NewPacketNetwork(2 * time.Millisecond)
-				other = network.Listen(otherPeerAddress)
-				gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
-			}
-			withHarness(t, func(h *harness) {
+			withPeer(t, func(h *harness, other net.PacketConn) {
 				h.setFaults("pool", direct.Pauses{After: 0, For: pause}, direct.Pauses{After: 0, For: pause})
 				done := make(chan struct{})
 				go func() {
@@ -80,12 +87,11 @@
 				}()
 				got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
 				<-done
-				assert.NilError(t, other.Close())
 				assert.Equal(t, got.Status, 200)
 				assert.Assert(t, got.complete)
 				assert.Equal(t, got.body, expectedStream(got.id, 1, 5))
 				assert.Equal(t, len(h.runs(got.id)), tc.runs)
-			}, withPeers)
+			})
 		})
 	}
 }
@@ -93,13 +99,7 @@
 // Guards against a status from which an engineer on call cannot see how old the reports of other gateways are, and how many
 // heavy prompts wait.
 func TestStatusOfGroup(t *testing.T) {
-	var other net.PacketConn
-	withPeers := func(g *gateway.Gateway) {
-		network := standin.NewPacketNetwork(2 * time.Millisecond)
-		other = network.Listen(otherPeerAddress)
-		gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
-	}
-	withHarness(t, func(h *harness) {
+	withPeer(t, func(h *harness, other net.PacketConn) {
 		assert.Equal(t, len(h.gateway.Status().ReportAges), 0)
 		held := dispatch.HeldPrompt{Service: dispatch.ServiceKey("pool"), Waited: time.Second, Prefill: 7 * time.Second}
 		h.sendReport(other, peering.State{Incarnation: 1, Sequence: 1, Zone: "banos", Held: []dispatch.HeldPrompt{held, held}})
@@ -110,6 +110,5 @@
 		assert.Equal(t, status.HeldPrefill, int64(14000))
 		time.Sleep(time.Second)
 		assert.Equal(t, h.gateway.Status().HeldHeavy, 0) // the report is too old
-		assert.NilError(t, other.Close())
-	}, withPeers)
+	})
 }
