dispatch, gateway: servers of a zone that have ended together do not use up the sends of its gateways

The gateways of the zone prefer its engines, were refused 248 connections by 31 of them within 2 s, and avoided each for 0.4 s only; 23 requests were refused after four such sends, and 65 because the retry limit was used up. Change: a backend server to which no connection was established is avoided for 1.6 s, twice as long each time in a row; a request that has tried two backend servers of a zone tries those of other zones first. Ruled out: the 6 s of an ended incarnation, because a backend server also resets connections beyond its limit.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,6 +12,10 @@
 	// doubles it, up to maxAvoidance. The store keeps the entry of a dead backend server for some seconds.
 	initialAvoidance = 400 * time.Millisecond
 	maxAvoidance     = 6 * time.Second
+	// unreachableAvoidance replaces initialAvoidance if no connection was established. When the backend servers of a zone end
+	// together, their entries last for some seconds, and the gateways of the zone would spend their sends on dialing all of
+	// them again and again.
+	unreachableAvoidance = 1600 * time.Millisecond
 	// goneAvoidance is how long an incarnation is avoided after another server answered at its address. The store shows
 	// within this time that it is gone.
 	goneAvoidance = 6 * time.Second
@@ -25,7 +29,7 @@
 )
 
 // Outcome says how a request ended at a backend server. It is a sealed interface: Answered, Errored, Full, Gone,
-// Lost and Abandoned are its only implementations.
+// Unreachable, Lost and Abandoned are its only implementations.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
@@ -42,18 +46,22 @@
 // Gone means that another server answered at the address of the backend server, which therefore has ended.
 type Gone struct{}
 
-// Lost means that no connection was established, or that the answer broke off or did not arrive in time.
+// Unreachable means that no connection was established.
+type Unreachable struct{}
+
+// Lost means that the answer broke off or did not arrive in time.
 type Lost struct{}
 
 // Abandoned means that the caller left or its deadline passed, which says nothing about the backend server.
 type Abandoned struct{}
 
-func (Answered) outcome()  {}
-func (Errored) outcome()   {}
-func (Full) outcome()      {}
-func (Gone) outcome()      {}
-func (Lost) outcome()      {}
-func (Abandoned) outcome() {}
+func (Answered) outcome()    {}
+func (Errored) outcome()     {}
+func (Full) outcome()        {}
+func (Gone) outcome()        {}
+func (Unreachable) outcome() {}
+func (Lost) outcome()        {}
+func (Abandoned) outcome()   {}
 
 // average is an exponentially weighted moving average.
 type average float64
@@ -72,14 +80,21 @@
 		st.avoidFor(now, fullAvoidance)
 	case Gone:
 		st.avoidFor(now, goneAvoidance)
+	case Unreachable:
+		st.recordFailure(now, unreachableAvoidance)
 	case Lost:
-		st.errorRate.add(1)
-		st.avoidFor(now, min(initialAvoidance<<min(st.failures, 8), maxAvoidance))
-		st.failures++
+		st.recordFailure(now, initialAvoidance)
 	case Abandoned:
 	}
 }
 
+// recordFailure records a failed request. The avoidance doubles with each consecutive failure.
+func (st *serverState) recordFailure(now time.Time, avoidance time.Duration) {
+	st.errorRate.add(1)
+	st.avoidFor(now, min(avoidance<<min(st.failures, 8), maxAvoidance))
+	st.failures++
+}
+
 func (st *serverState) avoidFor(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(st.avoidUntil) {
 		st.avoidUntil = until
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -106,9 +106,31 @@
 	if healthy > 0 && healthy < len(p.candidateBuf) {
 		p.candidateBuf = slices.DeleteFunc(p.candidateBuf, func(c candidate) bool { return c.avoid })
 	}
+	p.leaveFailedZone(servers, tried)
 	return p.candidateBuf, without
 }
 
+// maxTriedPerZone is how many backend servers of one zone a request tries before those of other zones. Failures within a zone
+// often have one cause, and the number of sends is limited.
+const maxTriedPerZone = 2
+
+// leaveFailedZone removes the candidates of a zone in which maxTriedPerZone backend servers have been tried, if there are others.
+func (p *Planner) leaveFailedZone(servers []*roster.Server, tried []string) {
+	if len(tried) < maxTriedPerZone {
+		return
+	}
+	counts := map[string]int{}
+	for _, s := range servers {
+		if slices.Contains(tried, s.ID) {
+			counts[s.Zone]++
+		}
+	}
+	failed := func(c candidate) bool { return counts[c.server.Zone] >= maxTriedPerZone }
+	if slices.ContainsFunc(p.candidateBuf, func(c candidate) bool { return !failed(c) }) {
+		p.candidateBuf = slices.DeleteFunc(p.candidateBuf, failed)
+	}
+}
+
 // rank returns the position of a backend server in this gateway's own order; lower comes first.
 func (p *Planner) rank(s *roster.Server, key Key) uint64 {
 	mixed := (uint64(key) ^ p.seed) * 0x9e3779b97f4a7c15
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -333,10 +333,13 @@
 		q.expire()
 		return completed{}
 	}
-	if failure.Kind == backend.KindConnectionLost && failure.Reused {
+	switch {
+	case failure.Kind == backend.KindConnectionLost && failure.Reused:
 		// The backend server may have closed an idle connection, which says little about its health.
 		q.recordOutcome(a, dispatch.Abandoned{})
-	} else {
+	case failure.Kind == backend.KindDial:
+		q.recordOutcome(a, dispatch.Unreachable{})
+	default:
 		q.recordOutcome(a, dispatch.Lost{})
 	}
 	if failure.Kind == backend.KindConnectionLost && !failure.Reused {
