engine: bodies without an end do not delay outcomes that are known

Cause: after the last line of a stream the client read the rest of the body, and it read the error of a refusal for as long as the call lasted. An engine that never ends such a body kept the answer, or a refusal that says not run, from its caller until the deadline. Change: nothing is read after the last line, as each stream has a connection of its own; the body of a refusal is read for one second. Calls of plain services pass such bytes on and end at their deadline.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,6 +25,9 @@
 // maxResponseBody is the maximum size of a JSON response in bytes. The largest responses are exported caches.
 const maxResponseBody = 64 << 20
 
+// maxProblemTime bounds the reading of the body of a refusal, which is already decided.
+const maxProblemTime = time.Second
+
 // Client calls one engine or plain service. It is safe for concurrent use.
 type Client struct {
 	address netip.AddrPort
@@ -162,6 +165,9 @@
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
+	limited, cancel := context.WithTimeout(ctx, maxProblemTime)
+	defer cancel()
+	defer context.AfterFunc(limited, func() { _ = resp.Body.Close() })()
 	var problem ErrorResponse
 	_ = json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&problem)
 	drain(resp.Body)
--- /dev/null
+++ b/internal/engine/endless_test.go
@@ -0,0 +1,68 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"berylward.example/berylward/internal/engine"
+	"berylward.example/berylward/internal/standin"
+)
+
+// drip answers each connection with a response and then with one more byte a second until the client closes it.
+func drip(listener net.Listener, response string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			for _, err := conn.Write([]byte(response)); err == nil; _, err = conn.Write([]byte(" ")) {
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+}
+
+// Guards against a call whose outcome is known and that waits until its deadline, because the engine never ends the body
+// of the response.
+func TestEndlessBodies(t *testing.T) {
+	const last = `{"done":true,"usage":{"prompt-tokens":1,"cached-tokens":0,"generated-tokens":0}}` + "\n"
+	cases := map[string]struct {
+		response string
+		notRun   bool
+	}{
+		"after the last line of a stream": {"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + last, false},
+		"refusal":                         {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4000\r\n\r\n{\"error\":", true},
+		"after the error of a refusal":    {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4000\r\n\r\n{\"error\":\"full\"}", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := standin.NewMemoryListener(netip.MustParseAddrPort("127.0.0.1:9000"))
+				go drip(listener, tc.response)
+				client := engine.New(netip.MustParseAddrPort("127.0.0.1:9000"), engine.WithDialer(listener.DialContext))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				began := time.Now()
+				_, err := client.RunStream(ctx, engine.Stream{ID: "a"}, func(engine.Piece) error { return nil })
+				took := time.Since(began)
+				var failure *engine.Error
+				assert.Check(t, errors.As(err, &failure) == tc.notRun && (failure == nil || failure.NotRun()), "%v", err)
+				assert.Check(t, took <= 2*time.Second, "returned after %v", took)
+				cancel()
+				client.Close()
+				assert.NilError(t, listener.Close())
+				time.Sleep(2 * time.Second) // the last drip fails
+			})
+		})
+	}
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -62,7 +62,6 @@
 		case line.Done && min(line.Usage.Prompt, line.Usage.Cached, line.Usage.Generated) < 0:
 			return malformed(errors.New("negative token count in usage"))
 		case line.Done:
-			drain(resp.Body)
 			return answer.Usage{
 				PromptTokens:    line.Usage.Prompt,
 				CachedTokens:    line.Usage.Cached,
