suspect: a full registry that refuses a mark keeps all others

Cause: evict deleted the zero fingerprint when it had found nothing to drop. Change: it deletes only what it has found. Figures: TestFullRegistry, the case of the zero fingerprint is red before.

--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -250,7 +250,9 @@
 			victim, before, found = f, last, true
 		}
 	}
-	delete(r.marks, victim)
+	if found {
+		delete(r.marks, victim)
+	}
 	return found
 }
 
--- a/internal/suspect/registry_test.go
+++ b/internal/suspect/registry_test.go
@@ -75,3 +75,26 @@
 	}
 	assert.Equal(t, len(sampled), 130, "each of many new marks is sampled")
 }
+
+// Guards against a mark that is lost because a full registry refuses another one that expires sooner.
+func TestFullRegistry(t *testing.T) {
+	tests := map[string]struct {
+		held      Fingerprint
+		remaining time.Duration // of the mark that arrives; the held one has 30 minutes left
+		kept      bool
+	}{
+		"expires sooner":                        {Fingerprint{1}, time.Minute, true},
+		"expires sooner, held fingerprint zero": {Fingerprint{}, time.Minute, true},
+		"expires later":                         {Fingerprint{1}, time.Hour, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(uuid.UUID{1}, WithMaxFingerprints(1))
+			r.Merge(start, []Mark{{Fingerprint: tt.held, Crash: CrashID{Sequence: 1}, Remaining: 30 * time.Minute}})
+			r.Merge(start, []Mark{{Fingerprint: Fingerprint{2}, Crash: CrashID{Sequence: 2}, Remaining: tt.remaining}})
+			marks := r.Marks(start)
+			assert.Equal(t, len(marks), 1)
+			assert.Equal(t, marks[0].Fingerprint == tt.held, tt.kept)
+		})
+	}
+}
