dispatch, gateway: short prompts are drawn among engines with room for what other gateways have not reported yet

Cause: between two reports all gateways of a zone packed short prompts on the same few engines that the reports showed with room, and after a start each packed on an engine of its own before it had heard of the others. The larger the zone and the interval, the more met on one engine: in a replay with 60 gateways of a zone and reports every 310 ms (the interval of a group of 300) up to 118 requests for 16 slots, a cliff between 20 and 60 gateways; up to 58 after a restart of 20 gateways. Change: the number of short prompts that others have probably sent since their last reports is what they have reported, times the interval, over the mean time of a short prompt. The engine is drawn, in proportion to its room, from as many engines as have room for that number; below one it is the first engine, as before. While other gateways are probably not all known, it is drawn from all with room. The same holds for engines of other zones, with their longer interval. Ruled out: the fewest requests of two drawn engines, which is as good after a start but spreads short prompts in small groups.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -91,9 +91,10 @@
 
 // placedRequest is a request that was placed and has not ended.
 type placedRequest struct {
-	servers []*serverState
-	prefill time.Duration
-	memory  int64
+	placedAt time.Time
+	servers  []*serverState
+	prefill  time.Duration
+	memory   int64
 	// reserved means that memory is held at each of the servers, and not only at the first.
 	reserved    bool
 	short       bool
@@ -134,6 +135,13 @@
 	peers     map[string]peerReport
 	peerLoads map[Key]*peerLoad
 	gateways  int
+	// joining is set while other gateways are probably not all known.
+	joining bool
+	// sameZoneInterval and otherZoneInterval are the intervals between the reports of a gateway of the same zone and of
+	// another.
+	sameZoneInterval, otherZoneInterval time.Duration
+	// shortTime is the mean time from the sending of a short prompt to the end of its answer.
+	shortTime time.Duration
 	// unreported is the prefill that gateways have probably sent to an engine of another zone since their last reports.
 	unreported   time.Duration
 	loadsChanged bool
@@ -149,12 +157,19 @@
 	return func(p *Planner) { p.random = rand.New(source) }
 }
 
+const (
+	// initialShortTime is the expected time from the sending of a short prompt to the end of its answer before any has
+	// been answered, shortTimeWeight the weight of the newest such time in the mean.
+	initialShortTime = 2 * time.Second
+	shortTimeWeight  = 0.05
+)
+
 // NewPlanner returns a planner for a gateway in a zone.
 func NewPlanner(zone string, options ...Option) *Planner {
 	p := &Planner{
 		zone: zone, random: rand.New(rand.NewPCG(1, 2)), states: map[Key]*serverState{}, requests: map[PlacementID]*placedRequest{},
 		peers: map[string]peerReport{}, peerLoads: map[Key]*peerLoad{}, gateways: 1,
-		queue: newLongQueue(),
+		queue: newLongQueue(), shortTime: initialShortTime,
 	}
 	for _, o := range options {
 		o(p)
@@ -200,6 +215,10 @@
 // evenly among them.
 func (p *Planner) SetGatewayCount(n int) { p.gateways = max(n, 1) }
 
+// SetJoining states whether other gateways are probably not all known, as after a start. Short prompts are then spread over
+// the engines instead of packed on a few, because the load that other gateways add there is not known.
+func (p *Planner) SetJoining(joining bool) { p.joining = joining }
+
 // unreportedShare is the part of the interval between reports from other zones that an engine there has probably got in
 // prefill meanwhile: reports are half an interval old in the mean, and engines of a loaded fleet are busy half the time.
 const unreportedShare = 0.25
@@ -207,6 +226,7 @@
 // SetReportIntervals sets the intervals between the reports of gateways in this gateway's zone and in others. The larger
 // the difference, the less load an engine of another zone must report to be preferred for a long prompt.
 func (p *Planner) SetReportIntervals(sameZone, otherZones time.Duration) {
+	p.sameZoneInterval, p.otherZoneInterval = sameZone, otherZones
 	p.unreported = max(time.Duration(unreportedShare*float64(otherZones-sameZone)), 0)
 }
 
@@ -242,7 +262,7 @@
 // RecordPlacement records that a request is sent as placed. The PlacementID identifies it in calls of RecordProgress
 // and RecordEnd. It is zero for Hold and NoPlacement.
 func (p *Planner) RecordPlacement(now time.Time, profile RequestProfile, place Placement) PlacementID {
-	r := &placedRequest{short: profile.Short(), heavy: profile.heavy(), prefill: profile.PrefillTime()}
+	r := &placedRequest{placedAt: now, short: profile.Short(), heavy: profile.heavy(), prefill: profile.PrefillTime()}
 	switch place := place.(type) {
 	case Send:
 		r.servers = []*serverState{p.stateOf(place.Server)}
@@ -359,6 +379,9 @@
 	} else {
 		first.own.Long--
 	}
+	if _, answered := o.(Answered); answered && r.short {
+		p.shortTime += time.Duration(shortTimeWeight * float64(now.Sub(r.placedAt)-p.shortTime))
+	}
 	first.recordOutcome(now, o)
 	for i, st := range r.servers {
 		if i == 0 || r.reserved {
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -45,36 +45,81 @@
 	return time.Duration(max(c.requests()-profile.Engine.Slots+1, 0)) * queuedRequestCost
 }
 
-// packedEngine returns the index of the first engine with short prompts and room for one more, else of the first
-// without short prompts, else of the one with the fewest short prompts beyond packSlotShare, and -1 if there is none.
-// Engines in other zones are considered only if those in the gateway's zone have no room: reports about them are
-// older, and gateways of all zones would choose the same few of them.
+// packedEngine returns the index of the engine that a short prompt is packed on, and -1 if no engine has room. Gateways
+// that hear the same reports would all fill the same engine until the next ones, so it is drawn from as many engines as
+// have room for what other gateways have probably sent since their last reports.
 func (p *Planner) packedEngine(profile RequestProfile, candidates []candidate) int {
-	empty, overpacked := -1, -1
+	n := slices.IndexFunc(candidates, func(c candidate) bool { return c.server.Zone != p.zone })
+	if n < 0 {
+		n = len(candidates)
+	}
+	// Reports about engines in other zones are older, and gateways of all zones would choose the same few of them.
+	if i := p.drawPacked(profile, candidates[:n], p.sameZoneInterval, true); i >= 0 {
+		return i
+	}
+	if i := p.drawPacked(profile, candidates[n:], p.otherZoneInterval, false); i >= 0 {
+		return n + i
+	}
+	return -1
+}
+
+// drawPacked draws one of the first engines of a list that together have room for what other gateways have probably sent
+// there in the interval between their reports, in proportion to their room. It returns -1 if none has room.
+func (p *Planner) drawPacked(profile RequestProfile, candidates []candidate, interval time.Duration, overpack bool) int {
+	rooms := shortRooms(profile, candidates, overpack)
+	if len(rooms) == 0 {
+		return -1
+	}
+	unseen, free, n := p.unseenShort(candidates, interval), 0, 0
+	for ; n < len(rooms) && (n == 0 || p.joining || float64(free) <= unseen); n++ {
+		free += rooms[n].free
+	}
+	draw := p.random.IntN(free)
+	for _, r := range rooms[:n-1] {
+		if draw < r.free {
+			return r.index
+		}
+		draw -= r.free
+	}
+	return rooms[n-1].index
+}
+
+// shortRoom is the number of short prompts that a candidate still has room for.
+type shortRoom struct{ index, free int }
+
+// shortRooms returns the engines with room for short prompts in the order in which they are filled: those with some, then
+// those without, and with overpack those with the fewest beyond packSlotShare.
+func shortRooms(profile RequestProfile, candidates []candidate, overpack bool) []shortRoom {
+	var partial, empty, overpacked []shortRoom
 	limit := max(int(packSlotShare*float64(profile.Engine.Slots)), 1)
 	overpackLimit := max(int(overpackSlotShare*float64(profile.Engine.Slots)), 1)
 	for i := range candidates {
 		c := &candidates[i]
-		sameZone := c.server.Zone == p.zone
-		if !sameZone && (empty >= 0 || overpacked >= 0) {
-			break
-		}
+		slots := profile.Engine.Slots - c.requests()
 		switch {
-		case c.total.PendingPrefill > maxPackPrefill || c.requests() >= profile.Engine.Slots:
+		case c.total.PendingPrefill > maxPackPrefill || slots <= 0:
 		case c.total.Short >= limit:
-			if sameZone && c.total.PendingPrefill <= maxOverpackPrefill && c.total.Short <= overpackLimit && (overpacked < 0 || c.total.Short < candidates[overpacked].total.Short) {
-				overpacked = i
+			if overpack && c.total.PendingPrefill <= maxOverpackPrefill && c.total.Short <= overpackLimit {
+				overpacked = append(overpacked, shortRoom{i, min(overpackLimit+1-c.total.Short, slots)})
 			}
 		case c.total.Short > 0:
-			return i
-		case empty < 0:
-			empty = i
+			partial = append(partial, shortRoom{i, min(limit-c.total.Short, slots)})
+		default:
+			empty = append(empty, shortRoom{i, min(limit, slots)})
 		}
 	}
-	if empty >= 0 {
-		return empty
+	slices.SortStableFunc(overpacked, func(a, b shortRoom) int { return cmp.Compare(b.free, a.free) })
+	return slices.Concat(partial, empty, overpacked)
+}
+
+// unseenShort returns the number of short prompts that other gateways have probably sent to engines in the interval
+// between their reports.
+func (p *Planner) unseenShort(candidates []candidate, interval time.Duration) float64 {
+	reported := 0
+	for i := range candidates {
+		reported += candidates[i].total.Short - candidates[i].state.own.Short
 	}
-	return overpacked
+	return float64(reported) * float64(interval) / float64(p.shortTime)
 }
 
 // earliestEngine returns the index of the engine that will finish the prefill of a new prompt first.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -78,10 +78,11 @@
 
 // updateGroupSize passes the number of gateways to the parts that divide limits among the gateways.
 func (g *Gateway) updateGroupSize(now time.Time) {
-	n := g.group.Size()
+	n, complete := g.group.Size(), g.group.Complete(now)
 	g.planner.SetGatewayCount(n)
+	g.planner.SetJoining(!complete)
 	g.planner.SetReportIntervals(g.group.Intervals())
-	g.retries.SetGatewayCount(n, g.group.Complete(now))
+	g.retries.SetGatewayCount(n, complete)
 }
 
 // sendState is the task that sends this gateway's state to the others.
