--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,8 +41,6 @@
 	KindOption ErrorKind = "option"
 	// KindListen means that the listener for links failed.
 	KindListen ErrorKind = "listen"
-	// KindConfig means that the current declarations cannot be applied.
-	KindConfig ErrorKind = "config"
 )
 
 // Error reports a failure of the sidecar process.
