dispatch: late long prompts use a few engines with short requests

Cause: long prompts are prefilled on engines without short requests. In a burst only one or two engines have none, and all late prompts queued there, each sent when its deadline came near although it was predicted to miss it. Change: a prompt that would be late uses up to three engines with the fewest short requests if it is done there in half the time.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -18,8 +19,10 @@
 	// maxJointEngines is the largest number of engines that prefill one prompt.
 	maxJointEngines = 16
 	// maxFallbackEngines is how many engines with short requests prefill a long prompt when no other engine is
-	// available.
+	// available, or available in time.
 	maxFallbackEngines = 3
+	// fallbackGain is how many times sooner a late prompt must be done on engines with short requests to use them.
+	fallbackGain = 2
 	// minPart is the shortest part of a joint prefill; shorter parts save nothing compared with the duration of an
 	// iteration.
 	minPart = 60 * time.Millisecond
@@ -60,10 +63,15 @@
 	}
 	chosen, expected := chooseLongEngines(profile, candidates)
 	if len(chosen) == 0 && !profile.heavy() {
-		chosen, expected = chooseFallbackEngines(profile, candidates)
+		chosen, expected = chooseFallbackEngines(profile, candidates, math.MaxInt64)
 		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
 			return hold(HoldShort, candidates, expected)
 		}
+	} else if mayWait && now.Add(expected).After(profile.TargetTime) {
+		// All late prompts would otherwise wait for the few engines without short requests.
+		if fallback, sooner := chooseFallbackEngines(profile, candidates, expected/fallbackGain); len(fallback) > 0 && sooner < expected/fallbackGain {
+			chosen, expected = fallback, sooner
+		}
 	}
 	if len(chosen) == 0 {
 		return placeWithoutEngines(now, profile, candidates, engines)
@@ -100,11 +108,15 @@
 	return chosen, expected
 }
 
-// chooseFallbackEngines returns a few engines that prefill a prompt although all have short requests. The prompt makes
-// some of these late; using few engines limits how many. It changes the order of the candidates.
-func chooseFallbackEngines(profile RequestProfile, candidates []candidate) ([]candidate, time.Duration) {
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
-	return choosePrefillEngines(profile.PrefillTime(), candidates[:min(len(candidates), maxFallbackEngines)], 0, profile.memoryFilter())
+// chooseFallbackEngines returns a few engines that prefill a prompt before a time although they may have short requests,
+// those with the fewest of them. The prompt makes some of these late; using few engines limits how many.
+func chooseFallbackEngines(profile RequestProfile, candidates []candidate, before time.Duration) ([]candidate, time.Duration) {
+	part := profile.PrefillTime()/maxFallbackEngines + iterationTime
+	usable := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.pending() >= before-part })
+	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
+	usable = usable[:min(len(usable), maxFallbackEngines)]
+	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.pending(), b.pending()) })
+	return choosePrefillEngines(profile.PrefillTime(), usable, 0, profile.memoryFilter())
 }
 
 // sendLong sends a prompt to the chosen engines. The most suitable of them generates the answer.
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/roster"
 )
 
 // Guards against short prompts that are spread over all engines or packed too densely on one, and against long
@@ -352,3 +353,58 @@
 		})
 	}
 }
+
+// Guards against heavy prompts that pile up on the one or two engines without short requests and fail there, while all others
+// are nearly idle but for a few short requests: on a played day 15 heavy prompts waited for one engine until their
+// deadline, with a mean pending prefill of 37 ms in the fleet.
+func TestHeavyUsesEnginesWithShortRequests(t *testing.T) {
+	cases := map[string]struct {
+		// free is the pending prefill of the four engines without short requests; the others have shorts of them.
+		free   time.Duration
+		shorts int
+		// others is set if engines with short requests must be used.
+		others bool
+	}{
+		"idle engines without short requests":        {0, 1, false},
+		"engines without short requests soon free":   {300 * time.Millisecond, 1, false},
+		"engines without short requests far behind":  {6 * time.Second, 1, true},
+		"the same, more short requests elsewhere":    {6 * time.Second, 6, true},
+		"engines without short requests out of time": {12 * time.Second, 2, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, list := newPlanner(1), newServers(12)
+			var loads []dispatch.Load
+			for i, s := range list {
+				l := dispatch.Load{Key: dispatch.BackendKey(s), Short: tc.shorts}
+				if i < 4 {
+					l = dispatch.Load{Key: dispatch.BackendKey(s), Long: 1, PendingPrefill: tc.free}
+				}
+				loads = append(loads, l)
+			}
+			p.SetPeerLoads(start, "other", loads)
+			profile := longProfile(277000)
+			profile.Target, profile.TargetTime, profile.Deadline = 4*time.Second, start.Add(4*time.Second), start.Add(15*time.Second)
+			place := p.Place(start, profile, list, nil)
+			var servers []*roster.Server
+			var expected time.Duration
+			switch place := place.(type) {
+			case dispatch.Send:
+				servers, expected = []*roster.Server{place.Server}, place.Expected
+			case dispatch.JointPrefill:
+				servers, expected = place.Servers, place.Expected
+			case dispatch.Hold, dispatch.NoPlacement:
+				t.Fatalf("not sent: %+v", place)
+			}
+			used := 0
+			for _, s := range servers {
+				if !slices.Contains(list[:4], s) {
+					used++
+				}
+			}
+			assert.Equal(t, used > 0, tc.others, "%d of %d engines have short requests", used, len(servers))
+			assert.Check(t, used <= 3, "%d engines with short requests", used)
+			assert.Check(t, expected <= profile.Target, "expected after %v", expected)
+		})
+	}
+}
