dispatch: short prompts that others have not reported are counted for a whole interval again

Heavy prompts, for which half an interval had been chosen, now have the engines with short requests that late ones may use.

--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -112,17 +112,14 @@
 	return slices.Concat(partial, empty, overpacked)
 }
 
-// meanReportAge is the mean age of a report as a share of the interval between reports.
-const meanReportAge = 0.5
-
-// unseenShort returns the number of short prompts that other gateways have probably sent to engines since their last
-// reports.
+// unseenShort returns the number of short prompts that other gateways have probably sent to engines in the interval
+// between their reports.
 func (p *Planner) unseenShort(candidates []candidate, interval time.Duration) float64 {
 	reported := 0
 	for i := range candidates {
 		reported += candidates[i].total.Short - candidates[i].state.own.Short
 	}
-	return float64(reported) * meanReportAge * float64(interval) / float64(p.shortTime)
+	return float64(reported) * float64(interval) / float64(p.shortTime)
 }
 
 // earliestEngine returns the index of the engine that will finish the prefill of a new prompt first.
