engine: each request to an engine has a connection of its own

Cause: orders and readings of load shared kept connections. When an engine writes an earlier refusal once more on such a connection, it was taken for the answer to the next order or reading: an order that was carried out looked refused, and was given again. Change: all requests to engines use the client that keeps no connections, as streams did; nothing reads the rest of a body for a connection that is not kept. Ruled out: the same for the client of plain calls, which sidecars already use without kept connections, and whose tests need them.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -32,8 +32,8 @@
 type Client struct {
 	address netip.AddrPort
 	http    *http.Client
-	// unshared opens a connection for each request and keeps none. On a kept connection, a late or repeated response to an
-	// earlier request would be taken for the answer to the next one.
+	// unshared opens a connection for each request to an engine and keeps none. On a kept connection, a late or repeated
+	// response to an earlier request would be taken for the answer to the next one.
 	unshared *http.Client
 	clock    clock.PassiveClock
 	dial     dialer
@@ -147,8 +147,8 @@
 	return resp, nil
 }
 
-// sendJSON sends a JSON request to the engine and returns the response if its status is 2xx.
-func (c *Client) sendJSON(ctx context.Context, client *http.Client, method, path string, in any) (*http.Response, error) {
+// sendJSON sends a JSON request to the engine on a connection of its own and returns the response if its status is 2xx.
+func (c *Client) sendJSON(ctx context.Context, method, path string, in any) (*http.Response, error) {
 	op := method + " " + path
 	var body []byte
 	if in != nil {
@@ -157,7 +157,7 @@
 			return nil, &Error{Op: op, Kind: KindNotSent, Err: errors.Wrap(err, "encode request")}
 		}
 	}
-	resp, err := c.send(ctx, client, method, path, http.Header{"Content-Type": {"application/json"}}, body)
+	resp, err := c.send(ctx, c.unshared, method, path, http.Header{"Content-Type": {"application/json"}}, body)
 	if err != nil {
 		return nil, err
 	}
@@ -170,19 +170,17 @@
 	defer context.AfterFunc(limited, func() { _ = resp.Body.Close() })()
 	var problem ErrorResponse
 	_ = json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&problem)
-	drain(resp.Body)
 	return nil, &Error{Op: op, Kind: statusKind(resp.StatusCode), Status: resp.StatusCode, Err: errors.New(problem.Error)}
 }
 
 // callJSON sends a JSON request and decodes the JSON response into out, which may be nil.
 func (c *Client) callJSON(ctx context.Context, method, path string, in, out any) error {
-	resp, err := c.sendJSON(ctx, c.http, method, path, in)
+	resp, err := c.sendJSON(ctx, method, path, in)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if out == nil {
-		drain(resp.Body)
 		return nil
 	}
 	op := method + " " + path
@@ -199,9 +197,6 @@
 	return nil
 }
 
-// drain reads a small rest of the body, so that the connection can be reused.
-func drain(body io.Reader) { _, _ = io.Copy(io.Discard, io.LimitReader(body, 4<<10)) }
-
 func streamPath(id string) string { return "/v1/streams/" + url.PathEscape(id) }
 
 // Streams returns the engine's streams, including those that finished recently.
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -211,19 +211,48 @@
 }
 
 // Guards against an earlier refusal that an engine writes once more on a kept connection, and that is taken for the answer to the
-// next stream: the entry would be told that the stream has not run, and would run it again elsewhere.
+// next request. For a stream the entry would be told that it has not run, and would run it again elsewhere; an order that was
+// carried out would be given again.
 func TestRepeatedRefusal(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	ran := repeatRefusals(listener, okResponse(`{"done":true,"usage":{"prompt-tokens":1,"cached-tokens":0,"generated-tokens":0}}`+"\n"))
-	client := engine.New(netip.MustParseAddrPort(listener.Addr().String()))
-	defer client.Close()
-	_, err = client.RunStream(t.Context(), engine.Stream{ID: "a"}, func(engine.Piece) error { return nil })
-	var failure *engine.Error
-	assert.Assert(t, errors.As(err, &failure) && failure.NotRun(), "%v", err)
-	usage, err := client.RunStream(t.Context(), engine.Stream{ID: "b"}, func(engine.Piece) error { return nil })
-	assert.NilError(t, err)
-	assert.Equal(t, usage.PromptTokens, int64(1))
-	assert.Equal(t, ran(), 1)
+	const lastLine = `{"done":true,"usage":{"prompt-tokens":1,"cached-tokens":0,"generated-tokens":0}}` + "\n"
+	cases := map[string]struct {
+		answer string
+		call   func(context.Context, *engine.Client) error
+	}{
+		"stream": {lastLine, func(ctx context.Context, c *engine.Client) error {
+			usage, err := c.RunStream(ctx, engine.Stream{ID: "b"}, func(engine.Piece) error { return nil })
+			if err == nil && usage.PromptTokens != 1 {
+				return fmt.Errorf("usage %+v", usage)
+			}
+			return err
+		}},
+		"attach": {lastLine, func(ctx context.Context, c *engine.Client) error {
+			_, err := c.AttachStream(ctx, "b", 0, func(engine.Piece) error { return nil })
+			return err
+		}},
+		"order": {"{}", func(ctx context.Context, c *engine.Client) error {
+			_, err := c.SendOrder(ctx, engine.Order{})
+			return err
+		}},
+		"cancel": {"{}", func(ctx context.Context, c *engine.Client) error { return c.CancelStream(ctx, "b") }},
+		"load": {"{}", func(ctx context.Context, c *engine.Client) error {
+			_, err := c.Load(ctx)
+			return err
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			ran := repeatRefusals(listener, okResponse(tc.answer))
+			client := engine.New(netip.MustParseAddrPort(listener.Addr().String()))
+			defer client.Close()
+			_, err = client.Streams(t.Context())
+			var failure *engine.Error
+			assert.Assert(t, errors.As(err, &failure) && failure.NotRun(), "%v", err)
+			assert.NilError(t, tc.call(t.Context(), client))
+			assert.Equal(t, ran(), 1)
+		})
+	}
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -17,10 +17,10 @@
 // maxLineSize is the maximum size of one NDJSON line of a stream in bytes.
 const maxLineSize = 1 << 20
 
-// RunStream starts a stream on a connection of its own and calls fn for each piece until the stream ends. It returns the
+// RunStream starts a stream and calls fn for each piece until the stream ends. It returns the
 // usage from the last line. If fn fails, RunStream returns its error wrapped in an Error of KindMayHaveRun; the stream is not cancelled.
 func (c *Client) RunStream(ctx context.Context, stream Stream, fn func(Piece) error) (answer.Usage, error) {
-	resp, err := c.sendJSON(ctx, c.unshared, http.MethodPost, "/v1/streams", stream)
+	resp, err := c.sendJSON(ctx, http.MethodPost, "/v1/streams", stream)
 	if err != nil {
 		return answer.Usage{}, err
 	}
@@ -32,7 +32,7 @@
 // answer. NotRun of its error refers to the AttachStream request only, not to the stream.
 func (c *Client) AttachStream(ctx context.Context, id string, offset int64, fn func(Piece) error) (answer.Usage, error) {
 	path := streamPath(id) + "?offset=" + strconv.FormatInt(offset, 10)
-	resp, err := c.sendJSON(ctx, c.http, http.MethodGet, path, nil)
+	resp, err := c.sendJSON(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return answer.Usage{}, err
 	}
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -39,13 +39,12 @@
 	}
 }
 
-// probe requests the load. A kept-alive connection can be silent although the backend server is alive, so an attempt
-// without an answer is repeated on a new connection.
+// probe requests the load. A connection can go silent although the backend server is alive, so an attempt without an
+// answer is repeated on a new one.
 func (s *Sidecar) probe(ctx context.Context) {
 	sentAt := s.clock.Now()
 	load, err := s.readLoad(ctx)
 	if err != nil && !engine.NotRun(err) && ctx.Err() == nil {
-		s.client.Close()
 		sentAt = s.clock.Now()
 		load, err = s.readLoad(ctx)
 	}
