dispatch: the engines to draw from and the draw are separate steps

Cause: read as a newcomer, the loop of drawPacked did both, and one quantity was called unseen here and unreported elsewhere. Change: firstRooms; one name. The draws are the same. Conclusion: no behaviour changes.

--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -64,24 +64,39 @@
 }
 
 // drawPacked draws one of the first engines of a list that together have room for what other gateways have probably sent
-// there in the interval between their reports, in proportion to their room. It returns -1 if none has room.
+// there since their last reports, or of all while other gateways are probably not known. It returns -1 if none has room.
 func (p *Planner) drawPacked(profile RequestProfile, candidates []candidate, interval time.Duration, overpack bool) int {
 	rooms := shortRooms(profile, candidates, overpack)
-	if len(rooms) == 0 {
-		return -1
+	if !p.joining {
+		rooms = firstRooms(rooms, p.unreportedShort(candidates, interval))
+	}
+	free := 0
+	for _, r := range rooms {
+		free += r.free
 	}
-	unseen, free, n := p.unseenShort(candidates, interval), 0, 0
-	for ; n < len(rooms) && (n == 0 || p.joining || float64(free) <= unseen); n++ {
-		free += rooms[n].free
+	if free == 0 {
+		return -1
 	}
 	draw := p.random.IntN(free)
-	for _, r := range rooms[:n-1] {
+	for _, r := range rooms {
 		if draw < r.free {
 			return r.index
 		}
 		draw -= r.free
 	}
-	return rooms[n-1].index
+	return -1
+}
+
+// firstRooms returns as many of the first rooms as have place for more than a number of prompts together, or all of them.
+func firstRooms(rooms []shortRoom, prompts float64) []shortRoom {
+	free := 0
+	for i, r := range rooms {
+		free += r.free
+		if float64(free) > prompts {
+			return rooms[:i+1]
+		}
+	}
+	return rooms
 }
 
 // shortRoom is the number of short prompts that a candidate still has room for.
@@ -112,9 +127,9 @@
 	return slices.Concat(partial, empty, overpacked)
 }
 
-// unseenShort returns the number of short prompts that other gateways have probably sent to engines in the interval
+// unreportedShort returns the number of short prompts that other gateways have probably sent to engines in the interval
 // between their reports.
-func (p *Planner) unseenShort(candidates []candidate, interval time.Duration) float64 {
+func (p *Planner) unreportedShort(candidates []candidate, interval time.Duration) float64 {
 	reported := 0
 	for i := range candidates {
 		reported += candidates[i].total.Short - candidates[i].state.own.Short
