engine: the server of a test answers after it has read the request

Its server wrote the response as soon as the connection was accepted; when that came before the request, net/http took it for an unsolicited response and closed the connection ("Unsolicited response received on idle HTTP channel"). Change: the server reads the request first. No check changes. Conclusion: a fault of the test; the client is as it was.

--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -1,10 +1,12 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -16,7 +18,8 @@
 	"berylward.example/berylward/internal/standin"
 )
 
-// drip answers each connection with a response and then with one more byte a second until the client closes it.
+// drip answers the first request of each connection with a response and then with one more byte a second until the client
+// closes it.
 func drip(listener net.Listener, response string) {
 	for {
 		conn, err := listener.Accept()
@@ -25,6 +28,12 @@
 		}
 		go func() {
 			defer conn.Close()
+			// A response before its request would be taken for one that nobody asked for.
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
 			go func() { _, _ = io.Copy(io.Discard, conn) }()
 			for _, err := conn.Write([]byte(response)); err == nil; _, err = conn.Write([]byte(" ")) {
 				time.Sleep(time.Second)
