--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -223,8 +223,9 @@
 // prefill meanwhile: reports are half an interval old in the mean, and engines of a loaded fleet are busy half the time.
 const unreportedShare = 0.25
 
-// SetReportIntervals sets the intervals between the reports of gateways in this gateway's zone and in others. The larger
-// the difference, the less load an engine of another zone must report to be preferred for a long prompt.
+// SetReportIntervals sets the intervals between the reports of gateways in this gateway's zone and in others. The longer
+// they are, the more engines a short prompt is drawn from. The larger the difference, the less load an engine of another
+// zone must report to be preferred for a long prompt.
 func (p *Planner) SetReportIntervals(sameZone, otherZones time.Duration) {
 	p.sameZoneInterval, p.otherZoneInterval = sameZone, otherZones
 	p.unreported = max(time.Duration(unreportedShare*float64(otherZones-sameZone)), 0)
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -69,7 +69,8 @@
 		}
 	} else if mayWait && now.Add(expected).After(profile.TargetTime) {
 		// All late prompts would otherwise wait for the few engines without short requests.
-		if fallback, sooner := chooseFallbackEngines(profile, candidates, expected/fallbackGain); len(fallback) > 0 && sooner < expected/fallbackGain {
+		before := expected / fallbackGain
+		if fallback, sooner := chooseFallbackEngines(profile, candidates, before); len(fallback) > 0 && sooner < before {
 			chosen, expected = fallback, sooner
 		}
 	}
