--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -41,6 +41,24 @@
 	shortPerSecond float64
 	// lostEngines leave after a third of the time.
 	lostEngines int
+	// burst multiplies the load from burstStart to burstEnd; zero means that there is no burst.
+	burst                float64
+	burstStart, burstEnd time.Duration
+	// duration is how long callers arrive; zero means overloadDuration.
+	duration time.Duration
+	// slowdown multiplies the time that engines take to prefill, compared with what planners expect; zero means 1.
+	slowdown float64
+}
+
+// length returns how long callers arrive.
+func (o overload) length() time.Duration { return cmp.Or(o.duration, overloadDuration) }
+
+// loadAt returns the load of long prompts at a time after the start.
+func (o overload) loadAt(elapsed time.Duration) float64 {
+	if o.burst > 0 && elapsed >= o.burstStart && elapsed < o.burstEnd {
+		return o.load * o.burst
+	}
+	return o.load
 }
 
 // caller sends one prompt, and sends it once more after it was refused.
@@ -84,12 +102,12 @@
 }
 
 func (r *overloadRun) play() {
-	end := start.Add(overloadDuration)
+	end := start.Add(r.length())
 	for now := start; now.Before(end.Add(30 * time.Second)); now = now.Add(overloadTick) {
 		if now.Before(end) {
 			r.arrive(now)
 		}
-		if r.lostEngines > 0 && now.Equal(start.Add(overloadDuration/3)) {
+		if r.lostEngines > 0 && now.Equal(start.Add(r.length()/3)) {
 			r.servers = r.servers[r.lostEngines:]
 		}
 		r.finish(now)
@@ -103,13 +121,15 @@
 // arrive adds the callers of one tick. The lengths of long prompts are distributed log-normally.
 func (r *overloadRun) arrive(now time.Time) {
 	perTick := overloadTick.Seconds()
-	longRate := r.load * float64(r.engines) / meanLongPrefill.Seconds()
+	longRate := r.loadAt(now.Sub(start)) * float64(r.engines) / meanLongPrefill.Seconds()
 	if r.random.Float64() < longRate*perTick {
 		tokens := min(int64(193_000*math.Exp(0.52*r.random.NormFloat64())), 700_000)
 		r.long = append(r.long, r.newCaller(now, dispatch.RequestProfile{Engine: engine, Prompt: tokens, Answer: 800, Target: 4 * time.Second}, 15*time.Second))
 	}
-	if r.random.Float64() < r.shortPerSecond*perTick {
-		r.newCaller(now, shortProfile(), 10*time.Second)
+	for expected := r.shortPerSecond * perTick; expected > 0; expected-- {
+		if r.random.Float64() < expected {
+			r.newCaller(now, shortProfile(), 10*time.Second)
+		}
 	}
 }
 
@@ -172,7 +192,7 @@
 		if free.Before(now) {
 			free = now
 		}
-		r.freeAt[s.ID] = free.Add(part)
+		r.freeAt[s.ID] = free.Add(seconds(part.Seconds() * cmp.Or(r.slowdown, 1)))
 		if done.Before(r.freeAt[s.ID]) {
 			done = r.freeAt[s.ID]
 		}
@@ -210,6 +230,8 @@
 	}
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // servedShare returns the share of the callers that were served.
 func servedShare(callers []*caller) float64 {
 	served := 0
