route, gateway: a held request is not judged again by the age of the table

Callers of long reviews were told 'not run, come back' after a hold of seconds, while shorter prompts that had arrived with them were answered.

Cause: each placement of a request, after a hold or a failed attempt, asked the routing table again whether it is proven fresh enough for the caller's key. A prompt that waits for its turn was refused when the proof became older than 4.5 s; one that needs no turn was not. The class: a property that holds on arrival is judged once more, so that whoever waits longer is refused more often.

AdmitAgain decides on a request that was admitted: only a later table that lacks its key or route ends it. A key is used when the request arrives, and its proof was fresh enough then, so no request sent after a withdrawal and its time runs.

TestAdmitAgain covers a later table without the key and without the route.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,8 +101,7 @@
 		return nil, 0
 	}
 	g.mu.Lock()
-	admission := g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key)
-	admitted, ok := admission.(route.Admitted)
+	admitted, ok := q.stillAdmitted()
 	status := g.suspects.Check(now, q.fingerprint)
 	_, quarantined := status.(suspect.Quarantined)
 	service := dispatch.ServiceKey(q.service)
@@ -158,6 +157,13 @@
 	return a, 0
 }
 
+// stillAdmitted returns the present admission of a request that was admitted on arrival, and reports whether it holds. It
+// must be called with the gateway's lock held.
+func (q *request) stillAdmitted() (route.Admitted, bool) {
+	admitted, ok := q.gateway.currentTable.AdmitAgain(q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
+	return admitted, ok
+}
+
 // place asks the planner for a placement and records it. It must be called with the gateway's lock held.
 func (q *request) place(now time.Time) (dispatch.Placement, dispatch.PlacementID) {
 	planner, profile := q.gateway.planner, q.currentProfile()
@@ -263,7 +269,7 @@
 	if g.roster.Present(a.server) {
 		left--
 	}
-	_, admitted := g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
+	_, admitted := q.stillAdmitted()
 	_, quarantined := g.suspects.Check(now, q.fingerprint).(suspect.Quarantined)
 	return left > 0 && admitted && !quarantined && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
 		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -117,26 +117,30 @@
 		return Unproven{}
 	}
 	age := now.Sub(c.provenAt)
+	decision := c.AdmitAgain(host, path, callerKey)
+	if a, ok := decision.(Admitted); ok && (a.Route.Public || c.AdmitsKeys(now)) {
+		return a
+	}
+	if d, ok := decision.(Denied); ok && age <= maxDenialProofAge && (d.Reason != UnknownKey || c.AdmitsKeys(now)) {
+		return d
+	}
+	return Unproven{Age: age}
+}
+
+// AdmitAgain decides on a request that was admitted on arrival and is sent only now, after a hold or a failed attempt. The
+// age of the table is not judged again: the caller used its key when the request arrived. A later version of the table
+// that lacks the key or the route denies the request, however old that version is. There must be a table in force.
+func (c *CurrentTable) AdmitAgain(host, path, callerKey string) Admission {
 	r := c.table.Match(host, path)
 	if r == nil {
-		return c.deny(age, NoRoute)
+		return Denied{Reason: NoRoute, Version: c.table.Version}
 	}
 	if r.Public {
 		return Admitted{Route: r, Version: c.table.Version}
 	}
-	if !c.AdmitsKeys(now) {
-		return Unproven{Age: age}
-	}
 	workspace, ok := c.table.Workspace(callerKey)
 	if !ok {
-		return c.deny(age, UnknownKey)
+		return Denied{Reason: UnknownKey, Version: c.table.Version}
 	}
 	return Admitted{Route: r, Workspace: workspace, Version: c.table.Version}
 }
-
-func (c *CurrentTable) deny(age time.Duration, reason DenialReason) Admission {
-	if age > maxDenialProofAge {
-		return Unproven{Age: age}
-	}
-	return Denied{Reason: reason, Version: c.table.Version}
-}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -78,6 +78,36 @@
 	}
 }
 
+// Guards against a request that is refused after a hold because the table has not been proven meanwhile, and against one
+// that is sent although a later table has withdrawn its key or its route.
+func TestAdmitAgain(t *testing.T) {
+	withdrawn := route.NewTable(2, []route.Route{{Name: "all", Host: "a.example", Prefix: "/"}}, nil, map[string]string{}, route.Limits{})
+	cases := map[string]struct {
+		table *route.Table
+		host  string
+		want  route.Admission
+	}{
+		"same table":    {newTable(1), "a.example", route.Admitted{Workspace: "cuenca", Version: 1}},
+		"later table":   {newTable(2), "a.example", route.Admitted{Workspace: "cuenca", Version: 2}},
+		"key withdrawn": {withdrawn, "a.example", route.Denied{Reason: route.UnknownKey, Version: 2}},
+		"route gone":    {newTable(2), "b.example", route.Denied{Reason: route.NoRoute, Version: 2}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := route.NewCurrentTable(4500 * time.Millisecond)
+			c.Install(newTable(1))
+			c.Prove(start, 0)
+			c.Install(tc.table)
+			got := c.AdmitAgain(tc.host, "/x", "key")
+			if admitted, ok := got.(route.Admitted); ok {
+				admitted.Route = nil
+				got = admitted
+			}
+			assert.DeepEqual(t, got, tc.want)
+		})
+	}
+}
+
 // Guards against a table or a proof that is replaced by an older one.
 func TestCurrentTableKeepsNewest(t *testing.T) {
 	c := route.NewCurrentTable(time.Second)
