dispatch: heavy prompts use engines with short requests when there are no others

Cause: where no set of engines is free, a prompt goes to the three engines with the fewest short requests, but not if it is heavy. The class: an exception for one length of prompt in a rule that decides who is served, so that the same callers are always refused.

A heavy prompt whose turn has come now uses such engines too, as many as prefill it in its target time (three at least, 16 at most). The queue still limits how many do so at a time.

TestHeavyPromptHeld asked for the fault (hold, then refuse); it now asks for exactly 8 engines when it is the prompt's turn and for a hold when it is not. TestHeavyPromptRefusedInTime asks the same of prompts that no engine has memory for, and TestFailedRequestLogs has the refusals for memory and for the deadline.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -18,9 +18,9 @@
 	spillTargetShare = 0.7
 	// maxJointEngines is the largest number of engines that prefill one prompt.
 	maxJointEngines = 16
-	// maxFallbackEngines is how many engines with short requests prefill a long prompt when no other engine is
+	// minFallbackEngines is how many engines with short requests may prefill any long prompt when no other engine is
 	// available, or available in time.
-	maxFallbackEngines = 3
+	minFallbackEngines = 3
 	// fallbackGain is how many times sooner a late prompt must be done on engines with short requests to use them.
 	fallbackGain = 2
 	// minPart is the shortest part of a joint prefill; shorter parts save nothing compared with the duration of an
@@ -77,7 +77,7 @@
 		}
 	}
 	chosen, expected := chooseLongEngines(profile, candidates)
-	if len(chosen) == 0 && !profile.heavy() {
+	if len(chosen) == 0 {
 		chosen, expected = chooseFallbackEngines(profile, candidates, math.MaxInt64)
 		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
 			return hold(HoldShort, candidates, expected)
@@ -127,14 +127,25 @@
 // chooseFallbackEngines returns a few engines that prefill a prompt before a time although they may have short requests,
 // those with the fewest of them. The prompt makes some of these late; using few engines limits how many.
 func chooseFallbackEngines(profile RequestProfile, candidates []candidate, before time.Duration) ([]candidate, time.Duration) {
-	part := profile.PrefillTime()/maxFallbackEngines + iterationTime
+	limit := fallbackEngines(profile)
+	part := profile.PrefillTime()/time.Duration(limit) + iterationTime
 	usable := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.pending() >= before-part })
 	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
-	usable = usable[:min(len(usable), maxFallbackEngines)]
+	usable = usable[:min(len(usable), limit)]
 	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.pending(), b.pending()) })
 	return choosePrefillEngines(profile.PrefillTime(), usable, 0, profile.memoryFilter())
 }
 
+// fallbackEngines returns how many engines with short requests may prefill a prompt: more for a prompt that a few could not
+// prefill in its target time.
+func fallbackEngines(profile RequestProfile) int {
+	needed := maxJointEngines
+	if profile.Target > 0 {
+		needed = int(math.Ceil(profile.PrefillTime().Seconds() / profile.Target.Seconds()))
+	}
+	return min(max(minFallbackEngines, needed), maxJointEngines)
+}
+
 // sendLong sends a prompt to the chosen engines. The most suitable of them generates the answer.
 func (p *Planner) sendLong(profile RequestProfile, chosen []candidate, part, expected time.Duration) Placement {
 	tokens, reserved := profile.Prompt+profile.Answer, profile.reserved()
