dispatch: heavy prompts do not pile up on the engines with the fewest short requests

Callers of the longest prompts were refused because they could not be done in time, while other engines had hardly any prefill pending.

Cause: among engines with short requests, a prompt goes to those with the fewest.

Pending prefill counts beside the number of short requests now. TestHeavyPromptsSpreadOverBusyEngines failed before.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -130,12 +130,18 @@
 	limit := fallbackEngines(profile)
 	part := profile.PrefillTime()/time.Duration(limit) + iterationTime
 	usable := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.pending() >= before-part })
-	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.total.Short, b.total.Short) })
+	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.fallbackCost(), b.fallbackCost()) })
 	usable = usable[:min(len(usable), limit)]
 	slices.SortStableFunc(usable, func(a, b candidate) int { return cmp.Compare(a.pending(), b.pending()) })
 	return choosePrefillEngines(profile.PrefillTime(), usable, 0, profile.memoryFilter())
 }
 
+// fallbackCost orders engines with short requests for the prefill of a long prompt. Engines with the fewest short requests are
+// also those on which other long prompts already wait, so both count.
+func (c *candidate) fallbackCost() time.Duration {
+	return c.pending() + time.Duration(c.total.Short)*iterationTime
+}
+
 // fallbackEngines returns how many engines with short requests may prefill a prompt: more for a prompt that a few could not
 // prefill in its target time.
 func fallbackEngines(profile RequestProfile) int {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -277,6 +277,24 @@
 	}
 }
 
+// Guards against heavy prompts that all go to the engines with the fewest short requests, on which others already wait, until
+// they cannot be done in time there.
+func TestHeavyPromptsSpreadOverBusyEngines(t *testing.T) {
+	p, list := newPlanner(1), newServers(20)
+	var loads []dispatch.Load
+	for i, s := range list {
+		l := dispatch.Load{Key: dispatch.BackendKey(s), Short: 6}
+		if i < 8 {
+			l = dispatch.Load{Key: l.Key, Short: 1, Long: 1, PendingPrefill: 2 * time.Second}
+		}
+		loads = append(loads, l)
+	}
+	p.SetPeerLoads(start, "other", loads)
+	joint, ok := p.Place(start, longProfile(450000), list, nil).(dispatch.JointPrefill)
+	assert.Assert(t, ok)
+	assert.Assert(t, joint.Expected < 4*time.Second, "%v", joint.Expected)
+}
+
 // Guards against a heavy prompt that is held until its caller has no time left to try again.
 func TestHeavyPromptRefusedInTime(t *testing.T) {
 	p, list := newPlanner(1), newServers(20)
