gateway: a stop refuses plain requests whose timeout ends after it

Cause: plain requests were taken until 1.5 s before the end of the time to stop, whatever their timeout; 0.3 s of these are a margin.

A request that must not run twice is now refused when its timeout does not end before the stop does, an idempotent one likewise in the last 3.7 s. The refusal is true (not run) and sends the caller to another gateway at once.

TestStopRefusesWhatCannotEnd failed before (8 of 75 requests, with a timeout of 2 s and answers after 1.9 s, ended with a closed connection) and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,8 +232,9 @@
 	// streamCutoff is how long after the start of a shutdown new streams are accepted. Later ones might not end in
 	// time.
 	streamCutoff = 2500 * time.Millisecond
-	// plainCutoffMargin is how long before the end of a shutdown plain requests begin to be refused.
-	plainCutoffMargin = 1500 * time.Millisecond
+	// idempotentCutoff is how long before the end of a shutdown idempotent plain requests may be refused at the earliest,
+	// however long their timeout is. Most of them end much sooner, and their callers may send them again.
+	idempotentCutoff = 3700 * time.Millisecond
 )
 
 // Stop shuts the gateway down and gives running requests time to end. The gateway is not ready from the start of the
@@ -269,15 +270,21 @@
 	return err
 }
 
-// refusesKind reports whether a gateway that is shutting down refuses new requests of a kind.
-func (g *Gateway) refusesKind(kind route.Kind) bool {
+// refusesWhileStopping reports whether a gateway that is shutting down refuses a new request because it might not end in time.
+// A plain request may last as long as its timeout.
+func (g *Gateway) refusesWhileStopping(r *route.Route, timeout time.Duration) bool {
 	began := g.stopping.Load()
 	if began == 0 {
 		return false
 	}
 	elapsed := time.Duration(g.clock.Now().UnixNano() - began)
-	if kind == route.Stream {
+	left := g.ShutdownTimeout - stopMargin - elapsed
+	switch r.Kind {
+	case route.Stream:
 		return elapsed > streamCutoff
+	case route.Safe:
+		return left < min(timeout, idempotentCutoff)
+	case route.Unsafe:
 	}
-	return elapsed > g.ShutdownTimeout-plainCutoffMargin
+	return left < timeout
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,7 +83,6 @@
 	if !q.admit() {
 		return
 	}
-	q.setDeadline()
 	if !q.readBody(r) {
 		return
 	}
@@ -113,7 +112,8 @@
 	switch a := admission.(type) {
 	case route.Admitted:
 		q.admitted = a
-		if g.refusesKind(a.Route.Kind) {
+		q.setDeadline()
+		if g.refusesWhileStopping(a.Route, q.deadline.Sub(g.clock.Now())) {
 			g.log.Info("request refused: stopping", "request", q.req.ID, "running", g.active.Load())
 			q.refuse("stopping", retryAfterElsewhere)
 			return false
