gateway, direct: tests of response heads that are cut and of responses without a length

Both are handled: TestPlainRequests and TestStreams pass without a change of logic.

Conclusion: cannot happen in gateways; the other caller path has no test of its own (docs/design.md, section 11.1).

--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -18,7 +18,7 @@
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
 // Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents, EndsOnPart,
-// Unsigned and WrongID are its only implementations.
+// CutsHead, Unframed, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -67,6 +67,14 @@
 // EndsOnPart means that the server ends when it begins an answer to a prompt with a part, whatever else the prompt holds.
 type EndsOnPart struct{ Part string }
 
+// CutsHead means that requests run, and that the head of a response ends after a number of its lines, and with it the
+// connection.
+type CutsHead struct{ Lines int }
+
+// Unframed means that responses have neither a length nor chunks and end with the connection. With Cut set, a stream ends
+// in the middle of its last event.
+type Unframed struct{ Cut bool }
+
 // Unsigned means that responses have no signature.
 type Unsigned struct{}
 
@@ -85,6 +93,8 @@
 func (Pauses) serverFault()         {}
 func (Drips) serverFault()          {}
 func (NoEvents) serverFault()       {}
+func (CutsHead) serverFault()       {}
+func (Unframed) serverFault()       {}
 func (EndsOnPart) serverFault()     {}
 func (Unsigned) serverFault()       {}
 func (WrongID) serverFault()        {}
@@ -302,6 +312,8 @@
 // answer writes the response body and reports whether it was written completely.
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	switch fault := fault.(type) {
+	case CutsHead, Unframed:
+		return b.answerRaw(w, r, request, fault)
 	case NeverAnswers:
 		<-r.Context().Done()
 		return false
@@ -373,6 +385,40 @@
 	return true
 }
 
+// answerRaw takes over the connection and writes a response whose head is cut, or whose body ends with the connection.
+func (b *Backend) answerRaw(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
+	if !b.waitStep(r) {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	lines := []string{"HTTP/1.1 200 OK"}
+	for name, values := range w.Header() {
+		lines = append(lines, name+": "+values[0])
+	}
+	if cut, ok := fault.(CutsHead); ok {
+		_, _ = io.WriteString(conn, strings.Join(lines[:min(cut.Lines, len(lines))], "\r\n")+"\r\n")
+		return true
+	}
+	body := Body(request.ID)
+	if b.Events > 0 {
+		body = ""
+		for n := int(request.ResumeAfter) + 1; n <= b.Events; n++ {
+			body += Event(request.ID, n)
+		}
+	}
+	if fault == (ServerFault(Unframed{Cut: true})) {
+		body = body[:len(body)-3]
+	}
+	_, err = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\nConnection: close\r\n\r\n"+body)
+	// Unlike TCP, a pipe whose other side is closed accepts no read deadline, so it stays open until the caller waits.
+	b.clock.Sleep(b.StepTime)
+	return err == nil
+}
+
 // drip writes a body of maxDripped bytes, one per step.
 func (b *Backend) drip(w http.ResponseWriter, r *http.Request) bool {
 	w.Header().Set("Content-Length", fmt.Sprint(maxDripped))
