--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -198,3 +198,23 @@
 		assert.NilError(t, err)
 	})
 }
+
+// BenchmarkMergePartReport measures what a report costs its recipient while many backend servers end.
+func BenchmarkMergePartReport(b *testing.B) {
+	from, to := suspect.NewPartRegistry(), suspect.NewPartRegistry()
+	for crash := range 64 {
+		var implications []suspect.Implication
+		for i := range 8 {
+			implications = append(implications, implied(suspect.Part(100+crash%40+i), suspect.RequestTag(crash*10+i)))
+		}
+		at := partStart.Add(time.Duration(crash) * 50 * time.Millisecond)
+		from.RecordCrash(at, suspect.ServerKey(crash+1), implications)
+		to.RecordCrash(at, suspect.ServerKey(crash+1), implications[:4])
+	}
+	now := partStart.Add(4 * time.Second)
+	report := from.Report(now)
+	for i := 0; b.Loop(); i++ {
+		report.Crashes[0].Implications[0].Request = suspect.RequestTag(i) // new evidence each time
+		to.Merge(now, report)
+	}
+}
