gateway, suspect: a probe that is not sent makes room for another

Callers with a part that was quarantined by chance were refused for up to 15 s more when the request that was to show that the part is sound ended before it was sent: refused for want of engines or retries, or given up.

Cause: the probe counted from the check of its parts, not from its send, and nothing took it back.

CancelProbe does. TestPartProbe has the case; it needs the new method, so it does not build before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,9 @@
 		a, wait := q.placeOnce()
 		if wait == 0 {
 			q.endHold()
+			if a == nil {
+				q.cancelProbe()
+			}
 			return a
 		}
 		began := q.gateway.clock.Now()
@@ -109,7 +112,6 @@
 	status := g.suspects.Check(now, q.fingerprint)
 	_, quarantined := status.(suspect.Quarantined)
 	parts := q.checkParts(now)
-	_, isProbe := parts.(suspect.PartProbe)
 	partQuarantine, isPartQuarantined := parts.(suspect.PartQuarantined)
 	service := dispatch.ServiceKey(q.service)
 	withinBudget := !q.exchanged || g.retries.Allows(now, service)
@@ -141,12 +143,10 @@
 		return nil, 0
 	}
 	q.sends++
-	q.probesPart = false
 	a := &attempt{placementID: placementID, placedAt: now}
 	switch p := placement.(type) {
 	case dispatch.Hold:
 		q.sends--
-		q.probesPart = isProbe
 		q.recordHold(p, gateways)
 		return nil, p.Delay
 	case dispatch.NoPlacement:
@@ -163,6 +163,7 @@
 			a.leases = newLeases(q, p.Servers)
 		}
 	}
+	q.probesPart = false
 	a.last = q.sends >= maxSends || q.attemptsLeft() <= 1
 	g.log.Info("sent", "request", q.req.ID, "backend", a.server.ID, "send", q.sends, "helpers", serverIDs(a.helpers),
 		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", admitted.Version,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -89,6 +89,17 @@
 	return state
 }
 
+// cancelProbe makes room for another probe when the request ends without having been sent as one.
+func (q *request) cancelProbe() {
+	if !q.probesPart {
+		return
+	}
+	q.probesPart = false
+	q.gateway.mu.Lock()
+	q.gateway.parts.CancelProbe(q.req.Parts)
+	q.gateway.mu.Unlock()
+}
+
 // mergePartReport takes in the report of another gateway. It must be called with the gateway's lock held.
 func (g *Gateway) mergePartReport(now time.Time, data []byte) {
 	if len(data) == 0 {
--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -179,6 +179,15 @@
 	return PartProbe{Part: part}
 }
 
+// CancelProbe ends the probe of a request with these parts that was not sent, so that another request may take its place.
+func (r *PartRegistry) CancelProbe(parts []Part) {
+	for _, p := range parts {
+		if c := r.quarantined[p]; c != nil {
+			c.probeEnds = time.Time{}
+		}
+	}
+}
+
 // Quarantined returns the quarantined parts and until when each is not sent, for the status of the process.
 func (r *PartRegistry) Quarantined(now time.Time) map[Part]time.Time {
 	list := map[Part]time.Time{}
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -154,6 +154,8 @@
 			other.Merge(tc.at, r.Report(tc.at))
 			_, again = other.Check(tc.at.Add(10*time.Second), 0, parts).(suspect.PartProbe)
 			assert.Assert(t, !again, "a probe at another process during the first")
+			r.CancelProbe(parts)
+			assert.DeepEqual(t, r.Check(tc.at.Add(time.Second), tc.rank, parts), tc.want) // the first was not sent
 			assert.DeepEqual(t, r.RecordAnswer(tc.at.Add(time.Second), parts), parts)
 			assert.DeepEqual(t, r.Check(tc.at.Add(2*time.Second), 3, parts), suspect.PartState(suspect.PartsUsable{}))
 			_, released := other.Merge(tc.at.Add(2*time.Second), r.Report(tc.at.Add(2*time.Second)))
