suspect: reports on prompt parts are not renewed when they are passed on

Callers in a large group could have been refused although a probe had shown their part to be sound: a gateway passed on the clearances, probes and times of crashes that it had heard, with ages that leave out the time of transmission, so they became younger with each hop. A clearance could overtake a later crash, and a quarantine that was lifted could come back.

Cause: only crashes were reported by their own process alone. Now clearances and probes are, too, and the time of the last crash is taken over with a new quarantine only.

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -105,8 +105,10 @@
 	lastCrash time.Time
 	// times counts the quarantines in a row. The first is tentative.
 	times int
-	// probeEnds is until when a request of this or another process probes the part.
+	// probeEnds is until when a request of this or another process probes the part. ownProbe is set if it is one of this
+	// process, which alone reports it.
 	probeEnds time.Time
+	ownProbe  bool
 }
 
 func (c *partQuarantine) tentative() bool { return c.times <= 1 }
@@ -128,6 +130,7 @@
 func (c *partQuarantine) extend(now, lastCrash time.Time) {
 	c.times++
 	c.until, c.lastCrash, c.probeEnds = now.Add(min(firmTime<<min(c.times-2, 8), maxQuarantine)), lastCrash, time.Time{}
+	c.ownProbe = false
 }
 
 // PartRegistry finds parts of prompts that end the backend servers which begin an answer on them. Every crash implicates the
@@ -136,8 +139,11 @@
 // no other part. Evidence and quarantines are exchanged by PartReport, and a merge is idempotent. A
 // PartRegistry must be used by one goroutine at a time.
 type PartRegistry struct {
-	crashes     []*crash // in the order of time
-	cleared     map[Part]time.Time
+	crashes []*crash // in the order of time
+	cleared map[Part]time.Time
+	// ownCleared holds the answers that this process has recorded itself. Only these are reported: passed on by others,
+	// they would become younger by the time of each transmission.
+	ownCleared  map[Part]time.Time
 	quarantined map[Part]*partQuarantine
 	// unjudged is set while there is evidence that judge has not seen.
 	unjudged bool
@@ -145,7 +151,7 @@
 
 // NewPartRegistry returns an empty registry.
 func NewPartRegistry() *PartRegistry {
-	return &PartRegistry{cleared: map[Part]time.Time{}, quarantined: map[Part]*partQuarantine{}}
+	return &PartRegistry{cleared: map[Part]time.Time{}, ownCleared: map[Part]time.Time{}, quarantined: map[Part]*partQuarantine{}}
 }
 
 // Holds reports whether one of these parts is quarantined. If not, Check returns PartsUsable.
@@ -179,7 +185,7 @@
 		return PartQuarantined{Part: part, Until: from}
 	}
 	for _, c := range found {
-		c.probeEnds = now.Add(probeTimeout)
+		c.probeEnds, c.ownProbe = now.Add(probeTimeout), true
 	}
 	return PartProbe{Part: part}
 }
@@ -188,7 +194,7 @@
 func (r *PartRegistry) CancelProbe(parts []Part) {
 	for _, p := range parts {
 		if c := r.quarantined[p]; c != nil {
-			c.probeEnds = time.Time{}
+			c.probeEnds, c.ownProbe = time.Time{}, false
 		}
 	}
 }
@@ -212,6 +218,7 @@
 		if !r.implicated(p) || r.cleared[p].After(began) {
 			continue
 		}
+		r.ownCleared[p] = began
 		if r.clear(p, began) {
 			released = append(released, p)
 		}
@@ -399,4 +406,9 @@
 			delete(r.cleared, p)
 		}
 	}
+	for p, at := range r.ownCleared {
+		if now.Sub(at) > reportPeriod {
+			delete(r.ownCleared, p)
+		}
+	}
 }
--- a/internal/suspect/part_report.go
+++ b/internal/suspect/part_report.go
@@ -55,16 +55,18 @@
 			report.Crashes = append(report.Crashes, CrashReport{Server: c.server, Age: age, Implications: r.unclearedFirst(c)})
 		}
 	}
-	for p, at := range r.cleared {
-		if age := now.Sub(at); age <= reportPeriod {
-			report.Clearances = append(report.Clearances, Clearance{Part: p, Age: age})
-		}
+	for p, at := range r.ownCleared {
+		report.Clearances = append(report.Clearances, Clearance{Part: p, Age: max(now.Sub(at), 0)})
 	}
 	slices.SortFunc(report.Clearances, func(a, b Clearance) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part)) })
 	report.Clearances = report.Clearances[:min(len(report.Clearances), maxReportedClearances)]
 	for p, c := range r.quarantined {
+		var probe time.Duration
+		if c.ownProbe {
+			probe = max(c.probeEnds.Sub(now), 0)
+		}
 		report.Quarantines = append(report.Quarantines, QuarantineReport{
-			Part: p, Remaining: max(c.until.Sub(now), 0), LastCrash: max(now.Sub(c.lastCrash), 0), Probe: max(c.probeEnds.Sub(now), 0), Times: c.times,
+			Part: p, Remaining: max(c.until.Sub(now), 0), LastCrash: max(now.Sub(c.lastCrash), 0), Probe: probe, Times: c.times,
 		})
 	}
 	slices.SortFunc(report.Quarantines, func(a, b QuarantineReport) int {
@@ -124,13 +126,11 @@
 		r.quarantined[c.Part] = known
 	}
 	if c.Times > known.times {
-		known.until, known.times, known.probeEnds = now.Add(c.Remaining), c.Times, time.Time{}
+		known.until, known.times, known.lastCrash = now.Add(c.Remaining), c.Times, lastCrash
+		known.probeEnds, known.ownProbe = time.Time{}, false
 	}
 	if probe := now.Add(c.Probe); c.Times == known.times && c.Probe > 0 && probe.After(known.probeEnds) {
 		known.probeEnds = probe
 	}
-	if lastCrash.After(known.lastCrash) {
-		known.lastCrash = lastCrash
-	}
 	return added
 }
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -182,6 +182,53 @@
 	assert.DeepEqual(t, released, quarantined)
 }
 
+// Guards against evidence that becomes younger each time it is passed on, so that an answer clears later crashes, a released
+// part is quarantined again, or nobody may probe a part.
+func TestReportsAreNotRenewed(t *testing.T) {
+	const (
+		part, other = 1, 2
+		transit     = 20 * time.Millisecond
+		rounds      = 700
+	)
+	now := partStart
+	registries := []*suspect.PartRegistry{suspect.NewPartRegistry(), suspect.NewPartRegistry(), suspect.NewPartRegistry()}
+	for i := range 4 {
+		now = partStart.Add(time.Duration(i) * 1500 * time.Millisecond)
+		registries[0].RecordCrash(now, suspect.ServerKey(i+1), []suspect.Implication{implied(part, suspect.RequestTag(i)), implied(other, 9)})
+	}
+	lastCrash := now
+	registries[0].RecordAnswer(now.Add(time.Millisecond), []suspect.Part{other})
+	exchange := func() {
+		for i, from := range registries {
+			report := from.Report(now)
+			now = now.Add(transit)
+			for j, to := range registries {
+				if i != j {
+					to.Merge(now, report)
+				}
+			}
+		}
+	}
+	for range rounds {
+		exchange()
+	}
+	for i, r := range registries {
+		report := r.Report(now)
+		assert.Equal(t, len(report.Clearances), 0, "registry %d", i)
+		assert.Equal(t, len(report.Quarantines), 1, "registry %d", i)
+		age := now.Sub(lastCrash) - report.Quarantines[0].LastCrash
+		assert.Check(t, age <= 2*transit, "registry %d: the last crash is reported %v too late", i, age)
+	}
+	now = now.Add(3 * time.Minute)
+	_, probes := registries[1].Check(now, 0, []suspect.Part{part}).(suspect.PartProbe)
+	assert.Assert(t, probes)
+	for began := now; now.Sub(began) < 16*time.Second; {
+		exchange()
+	}
+	_, probes = registries[2].Check(now, 0, []suspect.Part{part}).(suspect.PartProbe)
+	assert.Assert(t, probes, "the probe of another process has ended")
+}
+
 // Guards against a message that ends the process or fills its memory.
 func FuzzDecodePartReport(f *testing.F) {
 	r := suspect.NewPartRegistry()
