--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"k8s.io/utils/clock"
 
+	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/roster"
 	"berylward.example/berylward/internal/route"
@@ -31,6 +32,8 @@
 	storeLink, gatewayLink int
 	// startWithin is the time within which all gateways start, in any order.
 	startWithin time.Duration
+	// dial opens connections to backend servers; nil means that none can be opened.
+	dial backend.Dialer
 }
 
 // fleet runs many gateways with peering, a store and no backend servers, in memory and on virtual time.
@@ -104,13 +107,17 @@
 }
 
 func (f *fleet) start(i int, o fleetOptions, callers net.Listener, store gateway.Store) {
+	dial := o.dial
+	if dial == nil {
+		dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, net.ErrClosed }
+	}
 	seeds := []netip.AddrPort{fleetAddress(0), fleetAddress(1), fleetAddress(2)}
 	g, err := gateway.Start(gateway.Settings{
 		Instance: fmt.Sprint(i), Zone: fmt.Sprint(i % o.zones), ShutdownTimeout: 8 * time.Second, RevocationTimeout: 5 * time.Second,
 		ChangeTimeout: 4 * time.Second, PeeringAddress: fleetAddress(i), Seeds: seeds, RetryShare: 0.2, RetryReserve: 100, RetryWindow: 10 * time.Second,
 	}, platform.Protocol{}, store, gateway.WithBootClock(&bootClock{}), gateway.WithPeerConn(f.network.Listen(fleetAddress(i))),
 		gateway.WithListeners(callers, standin.NewMemoryListener(readyAddress)),
-		gateway.WithDialer(func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, net.ErrClosed }))
+		gateway.WithDialer(dial))
 	assert.Check(f.test, err)
 	f.gateways[i].Store(g)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -78,6 +78,8 @@
 		MaxAttempts: 1, Shares: []route.Share{{Service: "desk", Weight: 1}}},
 	{Name: "safe", Host: callerHost, Prefix: "/look/", Kind: route.Safe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
 		MaxAttempts: 2, Shares: []route.Share{{Service: "desk", Weight: 1}}},
+	{Name: "check", Host: callerHost, Prefix: "/check/", Kind: route.Safe, Timeout: 2 * time.Second, Target: 100 * time.Millisecond,
+		MaxAttempts: 3, Shares: []route.Share{{Service: "desk", Weight: 1}}},
 	{Name: "stream", Host: callerHost, Prefix: "/draft/", Kind: route.Stream, Timeout: 10 * time.Second, Target: 300 * time.Millisecond,
 		MaxGap: 250 * time.Millisecond, MaxAttempts: 2, Resumable: true, Shares: []route.Share{{Service: "pool", Weight: 1}}},
 	{Name: "once", Host: callerHost, Prefix: "/once/", Kind: route.Stream, Timeout: 10 * time.Second, Target: 300 * time.Millisecond,
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -32,7 +32,8 @@
 	Server   roster.Server
 	Events   int
 	StepTime time.Duration
-	// End ends the server: its connections are closed, and new ones are refused. EndsOnPart needs it.
+	// End ends the server: its connections are closed, and new ones are refused. EndsOnPart and EndsOnPath
+	// need it.
 	End   func()
 	clock clock.Clock
 
@@ -234,6 +235,12 @@
 	case NeverAnswers:
 		<-r.Context().Done()
 		return false
+	case EndsOnPath:
+		if r.URL.Path == fault.Path {
+			b.clock.Sleep(fault.After)
+			b.End()
+			return false
+		}
 	case Errors:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, err := w.Write(make([]byte, fault.Size))
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -4,7 +4,7 @@
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
 // Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents, EndsOnPart,
-// CutsHead, Unframed, Unsigned and WrongID are its only implementations.
+// EndsOnPath, CutsHead, Unframed, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -53,6 +53,13 @@
 // EndsOnPart means that the server ends when it begins an answer to a prompt with a part, whatever else the prompt holds.
 type EndsOnPart struct{ Part string }
 
+// EndsOnPath means that the server ends a time after it began to run a request for a path, whether or not the connection of
+// the request is still open.
+type EndsOnPath struct {
+	Path  string
+	After time.Duration
+}
+
 // CutsHead means that requests run, and that the head of a response ends after a number of its lines, and with it the
 // connection.
 type CutsHead struct{ Lines int }
@@ -82,5 +89,6 @@
 func (CutsHead) serverFault()       {}
 func (Unframed) serverFault()       {}
 func (EndsOnPart) serverFault()     {}
+func (EndsOnPath) serverFault()     {}
 func (Unsigned) serverFault()       {}
 func (WrongID) serverFault()        {}
