suspect, gateway: what was sent and never answered stays evidence after the wait

Cause: an end counted against a request only if the gateway that had sent it was still waiting there and saw the connection break. The request's own context decided that, and it had ended; the question whether the server had ended was asked with the same context.

Change: suspect.UnansweredSends keeps what was sent to an incarnation and not answered. It counts as evidence, against the request and the parts of its prompt, when the incarnation ends: a connection to it is refused, another gateway reports the end, a new incarnation is at its address, or its entry is removed and it takes no connection. It does not count once the server is seen alive a second after the request was given up, or has left as planned. A connection that broke on reuse counts too when the store shows a new incarnation.

Conclusion: the ends of a request count whoever waits. Not covered: what a gateway had sent before it was stopped or killed itself.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -2,7 +2,12 @@
 // request at most once; the package never retries. A Pool owns its idle connections and is safe for concurrent use.
 package backend
 
-import "fmt"
+import (
+	"fmt"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
 
 // ErrorKind classifies an Error of this package.
 type ErrorKind string
@@ -41,5 +46,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Refused reports whether a dial failed because nothing listens at the address.
+func (e *Error) Refused() bool { return e.Kind == KindDial && errors.Is(e.Err, syscall.ECONNREFUSED) }
+
 // Sent reports whether the backend server may have received the request.
 func (e *Error) Sent() bool { return e.Kind != KindDial && e.Kind != KindUnsent }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -133,6 +133,17 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// Accepts reports whether a new connection to an address can be opened. It blocks until the connection is opened, which is then
+// closed again, or fails.
+func (p *Pool) Accepts(ctx context.Context, address netip.AddrPort) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,7 @@
 	joint       bool
 	last        bool // no further send is allowed after this one
 	probe       bool // the request is sent to show whether it still ends backend servers
+	givenUp     bool // the attempt is not waited for any more, but its backend server may still run it
 	// firstEventAt is when the first event arrived; answerRecorded is set once the answer has been recorded for the parts of
 	// the prompt.
 	firstEventAt   time.Time
@@ -340,6 +341,11 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	g.planner.RecordEnd(now, a.placementID, o)
+	switch o.(type) {
+	case dispatch.Answered, dispatch.Errored, dispatch.Full:
+		g.unanswered.RecordAlive(now, serverKey(a.server))
+	default:
+	}
 	g.mu.Unlock()
 	if a.leases != nil {
 		a.leases.release()
@@ -356,6 +362,9 @@
 		q.ranOn = append(q.ranOn, a.server)
 	}
 	q.tried = append(q.tried, a.server.ID)
+	if failure.Sent() && failure.Kind != backend.KindConnectionLost {
+		q.recordGivenUp(a)
+	}
 	if q.ctx.Err() != nil {
 		q.recordOutcome(a, dispatch.Abandoned{})
 		q.expire()
@@ -370,8 +379,11 @@
 	default:
 		q.recordOutcome(a, dispatch.Lost{})
 	}
-	if failure.Kind == backend.KindConnectionLost {
+	switch {
+	case failure.Kind == backend.KindConnectionLost:
 		q.recordLostConnection(a, failure)
+	case failure.Refused():
+		q.gateway.recordRefusedDial(a.server)
 	}
 	q.gateway.metrics.count("attempts-" + string(failure.Kind))
 	q.gateway.log.Info("attempt lost", "request", q.req.ID, "backend", a.server.ID, "kind", string(failure.Kind), "reused", failure.Reused,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,44 +23,143 @@
 // for many reasons, so the server is asked for a new connection first.
 func (q *request) recordLostConnection(a *attempt, failure *backend.Error) {
 	g := q.gateway
-	brokeAt := g.clock.Now()
-	ended := !a.wentOn(brokeAt) && g.hasEnded(q.ctx, a.server)
+	if a.wentOn(g.clock.Now()) {
+		return
+	}
+	send := q.unansweredSend(a)
+	ended := g.hasEnded(a.server)
 	now := g.clock.Now()
-	lost := suspect.LostRequest{Fingerprint: q.fingerprint, Ran: now.Sub(a.sentAt), Probe: a.probe}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case ended:
-		g.requests.RecordEnd(now, serverKey(a.server), lost)
-	case !failure.Reused:
-		g.requests.RecordBreak(now, lost)
-	}
-	if ended {
-		g.log.Info("backend server ended before an answer", "request", q.req.ID, "fingerprint", q.fingerprint.Short(), "backend", a.server.ID,
-			"ran-ms", brokeAt.Sub(a.sentAt).Milliseconds(), "probe", a.probe, "parts", partNames(q.req.Parts))
+		g.unanswered.Record(serverKey(a.server), send)
+		g.recordEnd(now, a.server)
+	case failure.Reused:
+		// The server may have closed an idle connection, or have started again meanwhile, which the store will show.
+		g.unanswered.Record(serverKey(a.server), send)
+	default:
+		g.requests.RecordBreak(now, suspect.LostRequest{Fingerprint: q.fingerprint, Ran: now.Sub(a.sentAt), Probe: a.probe})
 	}
-	if !ended || len(q.req.Parts) == 0 {
+}
+
+// recordGivenUp keeps a request that was sent and is not waited for any more as evidence, in case its backend server ends.
+func (q *request) recordGivenUp(a *attempt) {
+	g := q.gateway
+	if a.sentAt.IsZero() || a.wentOn(g.clock.Now()) {
 		return
 	}
-	implications := make([]suspect.Implication, 0, len(q.req.Parts))
-	for _, p := range q.req.Parts {
-		implications = append(implications, suspect.Implication{Part: p, Request: q.fingerprint.Tag()})
+	send := q.unansweredSend(a)
+	a.givenUp = true
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unanswered.Record(serverKey(a.server), send)
+}
+
+func (q *request) unansweredSend(a *attempt) suspect.UnansweredSend {
+	return suspect.UnansweredSend{
+		Fingerprint: q.fingerprint, Parts: q.req.Parts, SentAt: a.sentAt, GaveUpAt: q.gateway.clock.Now(), Probe: a.probe,
 	}
-	g.metrics.count("crashes-implicating-parts")
-	g.logQuarantined(now, g.parts.RecordCrash(now, serverKey(a.server), implications))
+}
+
+// recordRefusedDial records that nothing listens at the address of a backend server any more.
+func (g *Gateway) recordRefusedDial(s *roster.Server) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recordEnd(now, s)
+}
+
+// recordEnd records that an incarnation of a backend server has ended under the requests that it has not answered. It must be
+// called with the gateway's lock held.
+func (g *Gateway) recordEnd(now time.Time, s *roster.Server) { g.recordEndOf(now, serverKey(s), s.ID) }
+
+// recordEndOf is recordEnd for a server that is known by its key; name identifies it in the log.
+func (g *Gateway) recordEndOf(now time.Time, server suspect.ServerKey, name string) {
+	var implications []suspect.Implication
+	for _, s := range g.unanswered.RecordEnd(now, server) {
+		g.requests.RecordEnd(now, server, suspect.LostRequest{Fingerprint: s.Fingerprint, Ran: now.Sub(s.SentAt), Probe: s.Probe})
+		g.log.Info("backend server ended before an answer", "fingerprint", s.Fingerprint.Short(), "backend", name,
+			"sent-ms", now.Sub(s.SentAt).Milliseconds(), "given-up-ms", now.Sub(s.GaveUpAt).Milliseconds(), "probe", s.Probe, "parts", partNames(s.Parts))
+		for _, p := range s.Parts {
+			implications = append(implications, suspect.Implication{Part: p, Request: s.Fingerprint.Tag()})
+		}
+		if len(s.Parts) > 0 {
+			g.metrics.count("crashes-implicating-parts")
+		}
+	}
+	if len(implications) > 0 {
+		g.logQuarantined(now, g.parts.RecordCrash(now, server, implications))
+	}
+}
+
+// recordReplaced records the end of the incarnations that a new one takes the place of. Two processes cannot listen at one
+// address, so they have ended.
+func (g *Gateway) recordReplaced(joined roster.Joined) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if joined.Previous != nil {
+		g.recordDeparture(now, joined.Previous)
+	}
+	for _, s := range g.roster.AtAddress(joined.Server.Address) {
+		if s.ID != joined.Server.ID {
+			g.recordDeparture(now, s)
+		}
+	}
+}
+
+// recordLeft records that the entry of a backend server was removed. If the server did not leave as planned, and something was
+// not answered there, it is asked for a connection; one that gives none has ended.
+func (g *Gateway) recordLeft(s *roster.Server) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	ask := g.unanswered.Has(serverKey(s)) && !s.Draining && !g.roster.IsLeaving(s)
+	if !ask || len(g.roster.AtAddress(s.Address)) > 0 {
+		g.recordDeparture(now, s)
+		ask = false
+	}
+	g.mu.Unlock()
+	if ask {
+		g.tomb.Go(func() error {
+			if !g.accepts(s) {
+				g.recordRefusedDial(s)
+			}
+			return nil
+		})
+	}
+}
+
+// recordDeparture records that an incarnation of a backend server is gone, as planned or not. It must be called with the
+// gateway's lock held.
+func (g *Gateway) recordDeparture(now time.Time, s *roster.Server) {
+	if s.Draining || g.roster.IsLeaving(s) {
+		g.unanswered.Forget(serverKey(s))
+		return
+	}
+	g.recordEnd(now, s)
 }
 
 // serverKey returns the key that identifies an incarnation of a backend server in reports on suspects.
 func serverKey(s *roster.Server) suspect.ServerKey { return suspect.ServerKey(dispatch.BackendKey(s)) }
 
-// hasEnded reports whether nothing listens at the address of a backend server any more.
-func (g *Gateway) hasEnded(ctx context.Context, s *roster.Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, endedProbeTimeout)
+// hasEnded reports whether nothing listens at the address of a backend server any more. It asks for as long as it takes, whether
+// or not a caller waits.
+func (g *Gateway) hasEnded(s *roster.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
 	defer cancel()
 	g.metrics.count("crash-probes")
 	return g.pool.Refuses(ctx, s.Address)
 }
 
+// accepts reports whether a backend server takes a new connection.
+func (g *Gateway) accepts(s *roster.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
+	defer cancel()
+	g.metrics.count("crash-probes")
+	return g.pool.Accepts(ctx, s.Address)
+}
+
 // wentOn reports whether the answer of an attempt has gone on for a while after its first event.
 func (a *attempt) wentOn(now time.Time) bool {
 	return !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) >= answerGoesOn
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	proofs       *peering.ProofTracker
 	retries      *dispatch.SharedRetryBudget
 	requests     *suspect.RequestRegistry
+	unanswered   *suspect.UnansweredSends
 	parts        *suspect.PartRegistry
 	random       *rand.Rand
 	watch        pendingWatch
@@ -127,7 +128,7 @@
 	g := &Gateway{
 		Settings: s, protocol: p, store: store, clock: clock.RealClock{}, boot: bootclock.Clock{}, log: klog.Logger{},
 		metrics: newMetrics(nil), tracer: telemetry.DiscardTraces().Tracer(telemetry.TracerName),
-		firstReadDone: make(chan struct{}), roster: roster.New(), requests: suspect.NewRequestRegistry(incarnation),
+		firstReadDone: make(chan struct{}), roster: roster.New(), requests: suspect.NewRequestRegistry(incarnation), unanswered: suspect.NewUnansweredSends(),
 		parts: suspect.NewPartRegistry(),
 	}
 	for _, o := range options {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -58,7 +58,7 @@
 // endProbe makes room for other probes when an attempt has ended that was one. An attempt that was given up keeps its place,
 // because its backend server may still end.
 func (q *request) endProbe(a *attempt) {
-	if !a.probe || q.ctx.Err() != nil {
+	if !a.probe || a.givenUp {
 		return
 	}
 	q.gateway.mu.Lock()
@@ -77,6 +77,11 @@
 		return
 	}
 	g.requests.Merge(now, report)
+	for _, e := range report.Ends {
+		if server, ok := e.Crash.ServerOf(); ok && g.unanswered.Has(server) {
+			g.recordEndOf(now, server, "reported")
+		}
+	}
 }
 
 // mergePartReport takes in the report of another gateway. It must be called with the gateway's lock held.
@@ -89,6 +94,11 @@
 		g.metrics.count("peer-errors")
 		return
 	}
+	for _, c := range report.Crashes {
+		if g.unanswered.Has(c.Server) {
+			g.recordEndOf(now, c.Server, "reported")
+		}
+	}
 	quarantined, released := g.parts.Merge(now, report)
 	g.logQuarantined(now, quarantined)
 	g.logReleased(released)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -211,6 +211,7 @@
 func (g *Gateway) handleChange(c roster.Change) {
 	switch c := c.(type) {
 	case roster.Joined:
+		g.recordReplaced(c)
 		if c.Previous != nil {
 			g.mu.Lock()
 			g.planner.Forget(g.clock.Now(), c.Previous)
@@ -226,6 +227,7 @@
 		g.log.Info("backend server entry missing after store outage", "backend", c.Server.ID)
 	case roster.Left:
 		g.log.Info("backend server left", "backend", c.Server.ID, "revision", c.Server.Revision)
+		g.recordLeft(c.Server)
 		g.pool.CloseIdle(c.Server.Address)
 		g.mu.Lock()
 		g.planner.Forget(g.clock.Now(), c.Server)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,6 +129,7 @@
 	}
 	x.Done(false, 0)
 	if errors.Is(err, errCallerDisconnected) {
+		q.recordGivenUp(a)
 		q.recordOutcome(a, dispatch.Abandoned{})
 		q.outcome = "caller-left"
 		return completed{}
@@ -222,6 +223,7 @@
 	now := q.gateway.clock.Now()
 	q.gateway.mu.Lock()
 	q.gateway.planner.RecordProgress(now, a.placementID)
+	q.gateway.unanswered.RecordAlive(now, serverKey(a.server))
 	q.gateway.mu.Unlock()
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -214,6 +214,12 @@
 	return slices.SortedFunc(maps.Values(r.servers), func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 }
 
+// AtAddress returns the backend servers with an entry for an address, sorted by ID. There are several while the entry of one that
+// has ended is still there.
+func (r *Roster) AtAddress(address netip.AddrPort) []*Server {
+	return slices.DeleteFunc(r.Servers(), func(s *Server) bool { return s.Address != address })
+}
+
 // Expire drops the servers whose entries have been missing for too long, and the announcements of servers that have had
 // no entry for a long time.
 func (r *Roster) Expire(now time.Time) []Change {
