sidecar, standin: what was cancelled and not answered counts when the backend server ends

Callers saw: a request whose callers leave 20 ms before its engine ends, ended 20 engines in 20 sends; the registry allows two, and one more while the first end is on its way.

Cause: the sidecar marks the requests that run when its backend server ends. A request that was cancelled or given up did not count as running, although an engine may go on with it.

Change: it counts while the engine has not confirmed that it is gone, and for a second after it failed. The stand-in of the engine can end a time after it began a prompt.

False suspicion on this path is bounded by isolation and was not changed.

--- a/internal/scenario/failures_test.go
+++ b/internal/scenario/failures_test.go
@@ -273,6 +273,28 @@
 	})
 }
 
+// Guards against a request that ends one server after the other, because the sidecars forget what they have cancelled: its callers
+// leave before the server ends.
+func TestServersEndAfterCallersLeave(t *testing.T) {
+	withHarness(t, threeZones, func(t *testing.T, h *harness) {
+		for name := range h.Engines {
+			h.inject(name, standin.CrashOnMarker{Marker: "poison", After: 80 * time.Millisecond})
+		}
+		h.allowExtraCrashes = true
+		for i := range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+			h.send(ctx, request{entry: i, prompt: "poison", tokens: 100, timeout: 20 * time.Second})
+			cancel()
+			time.Sleep(time.Second)
+		}
+		crashes := 0
+		for _, e := range h.Engines {
+			crashes += e.Crashes()
+		}
+		assert.Assert(t, crashes > 0 && crashes <= 3, "%d servers crashed, want at most 3", crashes)
+	})
+}
+
 // Guards against a request that cannot finish before its deadline and waits for the deadline instead of being refused
 // at once.
 func TestImpossibleDeadline(t *testing.T) {
--- a/internal/sidecar/failure.go
+++ b/internal/sidecar/failure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/internal/suspect"
 	"berylward.example/berylward/pkg/answer"
 )
@@ -37,7 +38,7 @@
 func (b *backend) handleCrash(now time.Time, cause string) {
 	var running []suspect.Fingerprint
 	for _, s := range b.streams {
-		if s.started && !s.ended {
+		if s.mayRun(now) {
 			running = append(running, s.fingerprint)
 		}
 	}
@@ -71,6 +72,19 @@
 	}
 }
 
+// runsOnTime is how long a backend server may go on with a request that was given up.
+const runsOnTime = time.Second
+
+// mayRun reports whether the backend server may still have been running the request when it failed: also one that was cancelled
+// or given up, for a while.
+func (s *stream) mayRun(now time.Time) bool {
+	if !s.started || !s.ended || s.cancelPending {
+		return s.started
+	}
+	_, failed := s.lastMessage.(*link.Failed)
+	return failed && now.Sub(s.endedAt) < runsOnTime
+}
+
 // hasRunning reports whether the backend server runs any request.
 func (b *backend) hasRunning() bool {
 	for _, s := range b.streams {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -52,6 +52,7 @@
 
 type engineFaults struct {
 	crashMarker   string
+	crashAfter    time.Duration
 	ignoreCancels bool
 	ignoreFences  bool
 	slowFactor    float64
@@ -148,7 +149,7 @@
 		e.cold, e.processedTokens = true, 0
 		e.clearCache()
 	case CrashOnMarker:
-		e.faults.crashMarker = f.Marker
+		e.faults.crashMarker, e.faults.crashAfter = f.Marker, f.After
 	case IgnoreCancels:
 		e.faults.ignoreCancels = f.On
 	case IgnoreFences:
@@ -180,6 +181,24 @@
 	e.reset(true)
 }
 
+// crashLater crashes the present incarnation after a time.
+func (e *Engine) crashLater(after time.Duration) {
+	incarnation := e.incarnation
+	e.server.tomb.Go(func() error {
+		select {
+		case <-e.settings.clock.After(after):
+		case <-e.server.tomb.Dying():
+			return nil
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.incarnation == incarnation {
+			e.crash(0)
+		}
+		return nil
+	})
+}
+
 func (e *Engine) clearCache() {
 	e.cache.clear(e.settings.clock.Now())
 	for s := range e.live {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,9 +36,12 @@
 type (
 	// TurnCold empties the prefix cache and makes the engine cold, while its load reports still say that it is warm.
 	TurnCold struct{}
-	// CrashOnMarker crashes the engine whenever it starts a prompt that contains Marker. An empty Marker turns the
-	// fault off.
-	CrashOnMarker struct{ Marker string }
+	// CrashOnMarker crashes the engine whenever it has started a prompt that contains Marker, After the start, also if the prompt
+	// was cancelled since. An empty Marker turns the fault off.
+	CrashOnMarker struct {
+		Marker string
+		After  time.Duration
+	}
 	// IgnoreCancels makes the engine confirm cancellations without ending the streams.
 	IgnoreCancels struct{ On bool }
 	// IgnoreFences makes the engine execute orders with outdated fencing numbers.
@@ -118,7 +121,7 @@
 	case "turn-cold":
 		return TurnCold{}, nil
 	case "crash-on-marker":
-		return CrashOnMarker{Marker: r.Marker}, nil
+		return CrashOnMarker{Marker: r.Marker, After: d}, nil
 	case "ignore-cancels":
 		return IgnoreCancels{On: r.On}, nil
 	case "ignore-fences":
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -188,8 +188,11 @@
 		}
 		if !s.started {
 			if e.hasCrashMarker(s.Prompt) {
-				e.crash(0)
-				return step{}
+				if e.faults.crashAfter == 0 {
+					e.crash(0)
+					return step{}
+				}
+				e.crashLater(e.faults.crashAfter)
 			}
 			s.started, s.Prompt = true, ""
 		}
