roster, gateway: a joining backend server is compared with others only while something is unanswered

At the start of a gateway every backend server joins. The search for another one at its address sorted all of them each time, so a start cost the square of the fleet. The search passes over the entries without sorting, and only while a request is unanswered.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -99,6 +99,9 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.unanswered.Empty() {
+		return
+	}
 	if joined.Previous != nil {
 		g.recordDeparture(now, joined.Previous)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -217,7 +217,14 @@
 // AtAddress returns the backend servers with an entry for an address, sorted by ID. There are several while the entry of one that
 // has ended is still there.
 func (r *Roster) AtAddress(address netip.AddrPort) []*Server {
-	return slices.DeleteFunc(r.Servers(), func(s *Server) bool { return s.Address != address })
+	var list []*Server
+	for _, s := range r.servers {
+		if s.Address == address {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	return list
 }
 
 // Expire drops the servers whose entries have been missing for too long, and the announcements of servers that have had
--- a/internal/suspect/unanswered.go
+++ b/internal/suspect/unanswered.go
@@ -73,6 +73,9 @@
 // Forget drops what was sent to a server that has left as planned.
 func (u *UnansweredSends) Forget(server ServerKey) { delete(u.servers, server) }
 
+// Empty reports whether there is no unanswered request.
+func (u *UnansweredSends) Empty() bool { return len(u.servers) == 0 }
+
 // Has reports whether a server has unanswered requests.
 func (u *UnansweredSends) Has(server ServerKey) bool { return len(u.servers[server]) > 0 }
 
