--- a/internal/gateway/crash_fleet_test.go
+++ b/internal/gateway/crash_fleet_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -25,7 +26,8 @@
 const (
 	// crashPath is the path of the request that ends backend servers.
 	crashPath = "/check/crash"
-	// serverAway is how long a backend server that has ended is away. Its entry stays in the store for entryKept.
+	// serverAway is how long a backend server that has ended is away, unless a test sets another time. Its entry stays in the
+	// store for entryKept.
 	serverAway = 1500 * time.Millisecond
 	entryKept  = 1200 * time.Millisecond
 	// crashesAllowed is the number of ended servers after which a request may be sent only lateSendsAllowed times more, counted
@@ -36,10 +38,13 @@
 )
 
 // crashFleet runs gateways in three zones and plain backend servers that end when they run the request for crashPath. Each
-// server is back after serverAway, as a new incarnation at its old address.
+// server is back after a time, as a new incarnation at its old address.
 type crashFleet struct {
 	*fleet
-	fault     direct.EndsOnPath
+	fault direct.EndsOnPath
+	away  time.Duration
+	// sameID is set if a server starts again with the identifier that it had.
+	sameID    bool
 	listeners map[netip.AddrPort]*standin.MemoryListener
 	sequence  atomic.Int64
 
@@ -53,7 +58,7 @@
 
 // withCrashFleet runs fn with three gateways and a number of backend servers of the service desk.
 func withCrashFleet(t *testing.T, servers int, fault direct.EndsOnPath, fn func(*crashFleet)) {
-	c := &crashFleet{fault: fault, listeners: map[netip.AddrPort]*standin.MemoryListener{}, servers: map[netip.AddrPort]*http.Server{}}
+	c := &crashFleet{fault: fault, away: serverAway, listeners: map[netip.AddrPort]*standin.MemoryListener{}, servers: map[netip.AddrPort]*http.Server{}}
 	c.fault.Path = crashPath
 	dial := func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		return c.listeners[address].DialContext(ctx, "tcp", "")
@@ -82,8 +87,12 @@
 
 // startServer starts an incarnation of a backend server at an address.
 func (c *crashFleet) startServer(address netip.AddrPort, number int) {
+	id := fmt.Sprintf("i-%d-%d", number, c.sequence.Add(1))
+	if c.sameID {
+		id = fmt.Sprintf("i-%d", number)
+	}
 	b := direct.NewBackend(roster.Server{
-		ID: fmt.Sprintf("i-%d-%d", number, c.sequence.Add(1)), Service: "desk", Zone: fmt.Sprint(number % 3), Slots: 6,
+		ID: id, Service: "desk", Zone: fmt.Sprint(number % 3), Slots: 6,
 		Address: address, StartedAt: time.Now(),
 	}, clock.RealClock{})
 	b.Events, b.StepTime = 0, 80*time.Millisecond
@@ -112,11 +121,15 @@
 		return
 	}
 	c.ending.Go(func() {
-		time.Sleep(entryKept)
-		c.store.Delete(platform.ServerKey(b.Server.ID))
-		time.Sleep(serverAway - entryKept)
+		time.Sleep(c.away)
 		c.startServer(b.Server.Address, number)
 	})
+	if !c.sameID {
+		c.ending.Go(func() {
+			time.Sleep(entryKept)
+			c.store.Delete(platform.ServerKey(b.Server.ID))
+		})
+	}
 }
 
 // endAll ends the present incarnation of every server.
@@ -170,18 +183,25 @@
 		servers int
 		// endsAfter is the time after which a server that runs the request ends, patience the time for which a caller waits.
 		endsAfter, patience time.Duration
+		away                time.Duration // serverAway if it is zero
+		sameID              bool
 	}{
-		"callers leave":                   {3, 90 * time.Millisecond, 54 * time.Millisecond},
-		"callers leave, 30 servers":       {30, 90 * time.Millisecond, 54 * time.Millisecond},
-		"attempts given up":               {3, 400 * time.Millisecond, 2 * time.Second},
-		"attempts given up, 30 servers":   {30, 400 * time.Millisecond, 2 * time.Second},
-		"somebody waits":                  {3, 90 * time.Millisecond, 2 * time.Second},
-		"callers leave late, 30 servers":  {30, 700 * time.Millisecond, 600 * time.Millisecond},
-		"servers end at once, 30 servers": {30, time.Millisecond, 2 * time.Second},
+		"callers leave":                   {servers: 3, endsAfter: 90 * time.Millisecond, patience: 54 * time.Millisecond},
+		"callers leave, 30 servers":       {servers: 30, endsAfter: 90 * time.Millisecond, patience: 54 * time.Millisecond},
+		"callers leave, same identifier":  {servers: 3, endsAfter: 90 * time.Millisecond, patience: 54 * time.Millisecond, sameID: true},
+		"callers leave, soon back":        {servers: 3, endsAfter: 90 * time.Millisecond, patience: 54 * time.Millisecond, away: 60 * time.Millisecond},
+		"callers leave, one server":       {servers: 1, endsAfter: 90 * time.Millisecond, patience: 54 * time.Millisecond},
+		"attempts given up":               {servers: 3, endsAfter: 400 * time.Millisecond, patience: 2 * time.Second},
+		"attempts given up, 30 servers":   {servers: 30, endsAfter: 400 * time.Millisecond, patience: 2 * time.Second},
+		"somebody waits":                  {servers: 3, endsAfter: 90 * time.Millisecond, patience: 2 * time.Second},
+		"somebody waits, soon back":       {servers: 3, endsAfter: 90 * time.Millisecond, patience: 2 * time.Second, away: 60 * time.Millisecond, sameID: true},
+		"callers leave late, 30 servers":  {servers: 30, endsAfter: 700 * time.Millisecond, patience: 600 * time.Millisecond},
+		"servers end at once, 30 servers": {servers: 30, endsAfter: time.Millisecond, patience: 2 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			withCrashFleet(t, tc.servers, direct.EndsOnPath{After: tc.endsAfter}, func(c *crashFleet) {
+				c.away, c.sameID = cmp.Or(tc.away, serverAway), tc.sameID
 				var calls sync.WaitGroup
 				for i := range 200 {
 					calls.Go(func() { c.call(i%3, fmt.Sprint("/check/sound-", i), 2*time.Second) })
