gateway: only a complete answer clears a whole request, and one that has gone on may still end its server

Callers would have seen: a stream that ends its backend server after 0.3 s of its answer was run 16 times in eight sends, since an answer that has gone on cleared the request, and its loss was not recorded.

Cause: the rule for parts of prompts, of which the start of an answer is decisive, was taken over for whole requests.

Change: only a complete answer clears a request, and its loss counts until then. For parts nothing changes.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -19,13 +19,10 @@
 )
 
 // recordLostConnection records what a lost connection says about the request. A backend server that has ended implicates the
-// requests whose answers had not begun there, and the parts that their prompts share with others. Single connections break
-// for many reasons, so the server is asked for a new connection first.
+// requests that it had not answered, and the parts of prompts whose answers had not begun. Single connections break for many
+// reasons, so the server is asked for a new connection first.
 func (q *request) recordLostConnection(a *attempt, failure *backend.Error) {
 	g := q.gateway
-	if a.wentOn(g.clock.Now()) {
-		return
-	}
 	send := q.unansweredSend(a)
 	ended := g.hasEnded(a.server)
 	now := g.clock.Now()
@@ -46,7 +43,7 @@
 // recordGivenUp keeps a request that was sent and is not waited for any more as evidence, in case its backend server ends.
 func (q *request) recordGivenUp(a *attempt) {
 	g := q.gateway
-	if a.sentAt.IsZero() || a.wentOn(g.clock.Now()) {
+	if a.sentAt.IsZero() {
 		return
 	}
 	send := q.unansweredSend(a)
@@ -56,10 +53,15 @@
 	g.unanswered.Record(serverKey(a.server), send)
 }
 
+// unansweredSend returns what counts as evidence if the backend server of an attempt ends. An answer that has gone on shows that
+// the parts of the prompt are sound; the request as a whole may end its server at any time before the answer is complete.
 func (q *request) unansweredSend(a *attempt) suspect.UnansweredSend {
-	return suspect.UnansweredSend{
-		Fingerprint: q.fingerprint, Parts: q.req.Parts, SentAt: a.sentAt, GaveUpAt: q.gateway.clock.Now(), Probe: a.probe,
+	now := q.gateway.clock.Now()
+	send := suspect.UnansweredSend{Fingerprint: q.fingerprint, SentAt: a.sentAt, GaveUpAt: now, Probe: a.probe}
+	if !a.wentOn(now) {
+		send.Parts = q.req.Parts
 	}
+	return send
 }
 
 // recordRefusedDial records that nothing listens at the address of a backend server any more.
@@ -168,25 +170,26 @@
 	return !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) >= answerGoesOn
 }
 
-// recordAnswer records once for each attempt that the answer goes on, or is complete, so that neither the request nor the parts of
-// its prompt have ended the backend server.
+// recordAnswer records that an answer goes on, or is complete. The first shows that the parts of the prompt do not end the backend
+// server, the second that the request does not.
 func (q *request) recordAnswer(a *attempt, complete bool) {
 	now := q.gateway.clock.Now()
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = now
 	}
-	if a.answerRecorded || !complete && !a.wentOn(now) {
+	partsSound := len(q.req.Parts) > 0 && !a.answerRecorded && (complete || a.wentOn(now))
+	if !complete && !partsSound {
 		return
 	}
-	a.answerRecorded = true
+	a.answerRecorded = a.answerRecorded || partsSound
 	g := q.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.requests.RecordAnswer(now, q.fingerprint) {
+	if complete && g.requests.RecordAnswer(now, q.fingerprint) {
 		g.metrics.count("requests-released")
 		g.log.Info("request released: it was answered", "request", q.req.ID, "fingerprint", q.fingerprint.Short())
 	}
-	if len(q.req.Parts) > 0 {
+	if partsSound {
 		g.logReleased(g.parts.RecordAnswer(a.firstEventAt, q.req.Parts))
 	}
 }
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -256,16 +256,32 @@
 // Guards against a request that crashes backend servers and is run without limit, by retries of the gateway and of its
 // caller.
 func TestCrashingRequest(t *testing.T) {
-	withHarness(t, func(h *harness) {
-		h.setFaults("pool", direct.ClosesEarly{}, direct.ClosesEarly{})
-		runs := 0
-		for range 8 {
-			got := h.call(http.MethodPost, "/draft/crash", func(c *gateway.CallerRequest) { c.ID = "the-same-body" })
-			assert.Assert(t, got.Status != 200)
-			runs = len(h.runs(got.id))
-		}
-		assert.Assert(t, runs <= 4, "%d runs", runs)
-	})
+	cases := map[string]struct {
+		fault direct.ClosesEarly
+		step  time.Duration // between two events
+	}{
+		"before the answer":                  {direct.ClosesEarly{}, 20 * time.Millisecond},
+		"in an answer that has gone on":      {direct.ClosesEarly{After: 4}, 200 * time.Millisecond},
+		"in an answer that has just begun":   {direct.ClosesEarly{After: 1}, 20 * time.Millisecond},
+		"in the last event of a long answer": {direct.ClosesEarly{After: 4}, 400 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.setFaults("pool", tc.fault, tc.fault)
+				for _, b := range h.backends {
+					b.StepTime = tc.step
+				}
+				runs := 0
+				for range 8 {
+					got := h.call(http.MethodPost, "/draft/crash", func(c *gateway.CallerRequest) { c.ID = "the-same-body" })
+					assert.Assert(t, !got.complete || got.Status != 200)
+					runs = len(h.runs(got.id))
+				}
+				assert.Assert(t, runs <= 4, "%d runs", runs)
+			})
+		})
+	}
 }
 
 // Guards against a shutdown that cuts requests, refuses open connections or stays ready.
--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -205,8 +205,7 @@
 	return last
 }
 
-// RecordAnswer records a whole answer to a request, or one that has gone on for a while, and reports whether that ends a
-// quarantine.
+// RecordAnswer records a complete answer to a request, and reports whether that ends a quarantine.
 func (r *RequestRegistry) RecordAnswer(now time.Time, f Fingerprint) bool {
 	if len(r.ends[f]) == 0 {
 		return false
