suspect: old answers to requests are dropped in one pass

With more than 4,096 answers, each one dropped took a pass over all of them, under the lock of the gateway.

--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -360,10 +360,19 @@
 	}
 	maps.DeleteFunc(r.answers, func(_ Fingerprint, a requestAnswer) bool { return now.Sub(a.at) > endMemory })
 	maps.DeleteFunc(r.probes, func(_ Fingerprint, p requestProbe) bool { return !now.Before(p.ends) })
-	for len(r.answers) > maxSuspectRequests {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(r.answers)), func(a, b Fingerprint) int {
-			return cmp.Or(r.answers[a].at.Compare(r.answers[b].at), bytes.Compare(a[:], b[:]))
-		})
-		delete(r.answers, oldest)
+	r.trimAnswers()
+}
+
+// trimAnswers drops the oldest answers when there are too many.
+func (r *RequestRegistry) trimAnswers() {
+	excess := len(r.answers) - maxSuspectRequests
+	if excess <= 0 {
+		return
+	}
+	oldestFirst := slices.SortedFunc(maps.Keys(r.answers), func(a, b Fingerprint) int {
+		return cmp.Or(r.answers[a].at.Compare(r.answers[b].at), bytes.Compare(a[:], b[:]))
+	})
+	for _, f := range oldestFirst[:excess] {
+		delete(r.answers, f)
 	}
 }
