--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,8 +114,7 @@
 	}
 	g.mu.Lock()
 	admitted, ok := q.stillAdmitted()
-	whole := q.checkRequest(now)
-	requestQuarantine, quarantined := whole.(suspect.RequestQuarantined)
+	requestQuarantine, quarantined := q.checkRequest(now).(suspect.RequestQuarantined)
 	parts := q.checkParts(now)
 	partQuarantine, isPartQuarantined := parts.(suspect.PartQuarantined)
 	service := dispatch.ServiceKey(q.service)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -76,6 +76,9 @@
 // called with the gateway's lock held.
 func (g *Gateway) recordEnd(now time.Time, s *roster.Server) { g.recordEndOf(now, serverKey(s), s.ID) }
 
+// reportedServer is the name in logs of a backend server whose end another gateway has reported by its key.
+const reportedServer = "reported"
+
 // recordEndOf is recordEnd for a server that is known by its key; name identifies it in the log.
 func (g *Gateway) recordEndOf(now time.Time, server suspect.ServerKey, name string) {
 	var implications []suspect.Implication
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -79,7 +79,7 @@
 	g.requests.Merge(now, report)
 	for _, e := range report.Ends {
 		if server, ok := e.Crash.ServerOf(); ok && g.unanswered.Has(server) {
-			g.recordEndOf(now, server, "reported")
+			g.recordEndOf(now, server, reportedServer)
 		}
 	}
 }
@@ -96,7 +96,7 @@
 	}
 	for _, c := range report.Crashes {
 		if g.unanswered.Has(c.Server) {
-			g.recordEndOf(now, c.Server, "reported")
+			g.recordEndOf(now, c.Server, reportedServer)
 		}
 	}
 	quarantined, released := g.parts.Merge(now, report)
