--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -125,23 +125,21 @@
 // Refuses reports whether a new connection to an address is refused because nothing listens there. It blocks until the
 // connection is opened, which is then closed again, or fails. An address that does not answer in time does not refuse.
 func (p *Pool) Refuses(ctx context.Context, address netip.AddrPort) bool {
-	c, err := p.dial(ctx, address)
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
 }
 
 // Accepts reports whether a new connection to an address can be opened. It blocks until the connection is opened, which is then
 // closed again, or fails.
 func (p *Pool) Accepts(ctx context.Context, address netip.AddrPort) bool {
+	return p.probe(ctx, address) == nil
+}
+
+func (p *Pool) probe(ctx context.Context, address netip.AddrPort) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = c.Close()
-	return true
+	return c.Close()
 }
 
 // Close closes all idle connections.
--- a/internal/gateway/crash_fleet_test.go
+++ b/internal/gateway/crash_fleet_test.go
@@ -293,3 +293,56 @@
 		})
 	}
 }
+
+// Guards against sound requests that are refused for minutes because servers end one after the other for a cause of their own,
+// such as a bad release, and the requests are sent again on each next one.
+func TestSoundRequestsInRollingCrashes(t *testing.T) {
+	const (
+		sound   = 24
+		settled = 4 * time.Second
+	)
+	cases := map[string]struct {
+		servers int
+		between time.Duration // two ends
+	}{
+		"6 servers":  {6, 60 * time.Millisecond},
+		"30 servers": {30, 60 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withCrashFleet(t, tc.servers, direct.EndsOnPath{}, func(c *crashFleet) {
+				var calls sync.WaitGroup
+				var asked, served atomic.Int64
+				crashing := 6 * time.Second
+				counting := time.Now().Add(crashing + settled)
+				calls.Go(func() {
+					for i := range int(crashing / tc.between) {
+						c.mu.Lock()
+						b := c.backends[min(i, len(c.backends)-1)]
+						c.mu.Unlock()
+						b.End()
+						time.Sleep(tc.between)
+					}
+				})
+				for i := range sound {
+					calls.Go(func() {
+						for g := i; time.Now().Before(counting.Add(3 * time.Second)); g++ {
+							counted := time.Now().After(counting)
+							ok := c.call(g%3, fmt.Sprint("/check/sound-", i), 2*time.Second)
+							if counted {
+								asked.Add(1)
+							}
+							if counted && ok {
+								served.Add(1)
+							}
+							time.Sleep(30 * time.Millisecond)
+						}
+					})
+				}
+				calls.Wait()
+				t.Logf("%d of %d sound requests served", served.Load(), asked.Load())
+				assert.Check(t, served.Load()*100 >= asked.Load()*99, "%d of %d served", served.Load(), asked.Load())
+			})
+		})
+	}
+}
