suspect: only a probe shows that a request ends backend servers, and none is sent while others end

Cause: a request counted as the cause for sure if it had run on one server after the other. In a rolling crash every request that is sent again does.

Change: only an end as the only request on probe counts for sure. The request is then refused for 3 s, two minutes and ten, and a probe waits until no server ends that the request was not sent to. The times at which requests were sent are not needed any more and leave the reports.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -36,7 +36,7 @@
 		// The server may have closed an idle connection, or have started again meanwhile, which the store will show.
 		g.unanswered.Record(serverKey(a.server), send)
 	default:
-		g.requests.RecordBreak(now, suspect.LostRequest{Fingerprint: q.fingerprint, Ran: now.Sub(a.sentAt), Probe: a.probe})
+		g.requests.RecordBreak(now, suspect.LostRequest{Fingerprint: q.fingerprint, Probe: a.probe})
 	}
 }
 
@@ -83,7 +83,7 @@
 func (g *Gateway) recordEndOf(now time.Time, server suspect.ServerKey, name string) {
 	var implications []suspect.Implication
 	for _, s := range g.unanswered.RecordEnd(now, server) {
-		g.requests.RecordEnd(now, server, suspect.LostRequest{Fingerprint: s.Fingerprint, Ran: now.Sub(s.SentAt), Probe: s.Probe})
+		g.requests.RecordEnd(now, server, suspect.LostRequest{Fingerprint: s.Fingerprint, Probe: s.Probe})
 		g.log.Info("backend server ended before an answer", "fingerprint", s.Fingerprint.Short(), "backend", name,
 			"sent-ms", now.Sub(s.SentAt).Milliseconds(), "given-up-ms", now.Sub(s.GaveUpAt).Milliseconds(), "probe", s.Probe, "parts", partNames(s.Parts))
 		for _, p := range s.Parts {
--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -36,9 +36,13 @@
 	endMemory         = time.Hour
 	endMemoryReported = endMemory - 2*time.Minute
 	// requestTentativeTime is how long a request is quarantined while the ends of backend servers may have another cause. It
-	// doubles with each further end, up to requestFirmTime, for which the request is quarantined once it is the cause.
+	// doubles with each further end. A request that has ended a server on probe is quarantined for requestProbedTime, and
+	// requestProbedFactor times as long after each further such end: probes may be lost to other causes too. No time exceeds
+	// maxRequestTime.
 	requestTentativeTime = 600 * time.Millisecond
-	requestFirmTime      = 10 * time.Minute
+	requestProbedTime    = 3 * time.Second
+	requestProbedFactor  = 40
+	maxRequestTime       = 10 * time.Minute
 	// requestProbeStagger is the time between the first probes of two processes, longer than a report takes to arrive. It does
 	// not grow beyond the rank maxStaggeredRank: a rare request may arrive at a process of any rank.
 	requestProbeStagger = 300 * time.Millisecond
@@ -53,20 +57,17 @@
 	maxEndsPerRequest  = 16
 )
 
-// LostRequest is a request that had been sent to a backend server that ended. Ran is how long before the end it was sent; Probe
-// is set if it was on probe.
+// LostRequest is a request that had been sent to a backend server that ended. Probe is set if it was on probe.
 type LostRequest struct {
 	Fingerprint Fingerprint
-	Ran         time.Duration
 	Probe       bool
 }
 
 // end is the end of a backend server, as far as it concerns one request.
 type end struct {
-	crash  CrashID
-	at     time.Time
-	sentAt time.Time
-	probe  bool
+	crash CrashID
+	at    time.Time
+	probe bool
 	// own is set if this process has recorded the end itself. reports counts how often it was reported to others.
 	own     bool
 	reports int
@@ -85,15 +86,31 @@
 // verdict is the decision that a request is not sent.
 type verdict struct {
 	last time.Time // of the ends of backend servers
-	ends int
-	firm bool
+	// lastOther is the last end of a backend server that the request had not been sent to.
+	lastOther time.Time
+	ends      int
+	// probes counts the ends with this request as the only one on probe.
+	probes int
 }
 
+// until returns when the request may be tried again. While other servers end, a probe that is lost would say nothing.
 func (v verdict) until() time.Time {
-	if v.firm {
-		return v.last.Add(requestFirmTime)
+	until, calm := v.last.Add(v.wait()), v.lastOther.Add(requestTentativeTime)
+	if calm.After(until) {
+		return calm
 	}
-	return v.last.Add(min(requestTentativeTime<<min(v.ends-crashesToQuarantine, 16), requestFirmTime))
+	return until
+}
+
+func (v verdict) wait() time.Duration {
+	if v.probes == 0 {
+		return min(requestTentativeTime<<min(v.ends-crashesToQuarantine, 16), maxRequestTime)
+	}
+	wait := requestProbedTime
+	for n := 1; n < v.probes && wait < maxRequestTime; n++ {
+		wait *= requestProbedFactor
+	}
+	return min(wait, maxRequestTime)
 }
 
 // RequestRegistry finds requests that end the backend servers which run them, from what all processes that send to these
@@ -150,7 +167,7 @@
 	if l.Probe {
 		delete(r.probes, l.Fingerprint)
 	}
-	if e := r.add(l.Fingerprint, end{crash: crash, at: now, sentAt: now.Add(-l.Ran), probe: l.Probe}); e != nil {
+	if e := r.add(l.Fingerprint, end{crash: crash, at: now, probe: l.Probe}); e != nil {
 		e.own = true
 	}
 }
@@ -167,9 +184,6 @@
 		if in.at.Before(e.at) {
 			e.at, r.verdicts = in.at, nil
 		}
-		if in.sentAt.Before(e.sentAt) {
-			e.sentAt = in.sentAt
-		}
 		if in.probe && !e.probe {
 			e.probe, r.verdicts = true, nil
 		}
@@ -284,24 +298,22 @@
 	return list
 }
 
-// judge returns the requests that are quarantined. A request is the cause of an end for sure if it was on probe there as the only
-// one, or if it ran on one server after the other, with an end that it shares with no other suspect. What it has caused counts
-// against no other request.
+// judge returns the requests that are quarantined. A request that was on probe as the only one when a server ended is taken for the
+// cause, and what it has caused counts against no other request.
 func (r *RequestRegistry) judge(now time.Time) map[Fingerprint]verdict {
 	r.expire(now)
 	if r.verdicts != nil {
 		return r.verdicts
 	}
 	verdicts := map[Fingerprint]verdict{}
-	suspects := map[CrashID][]Fingerprint{}
 	probed := map[CrashID]int{}
+	serverEnds := r.serverEnds()
 	for f, list := range r.ends {
 		if len(list) < crashesToQuarantine {
 			continue
 		}
-		verdicts[f] = verdict{last: lastEnd(list), ends: len(list)}
+		verdicts[f] = verdict{last: lastEnd(list), lastOther: lastWithout(serverEnds, list), ends: len(list)}
 		for _, e := range list {
-			suspects[e.crash] = append(suspects[e.crash], f)
 			if e.probe {
 				probed[e.crash]++
 			}
@@ -309,19 +321,21 @@
 	}
 	explained := map[CrashID]bool{}
 	for f, v := range verdicts {
-		list := r.ends[f]
-		onProbe := slices.ContainsFunc(list, func(e *end) bool { return e.probe && probed[e.crash] == 1 })
-		alone := slices.ContainsFunc(list, func(e *end) bool { return len(suspects[e.crash]) == 1 })
-		if v.firm = onProbe || alone && oneAfterTheOther(list) >= crashesToQuarantine; v.firm {
-			verdicts[f] = v
-			for _, e := range list {
-				explained[e.crash] = true
+		for _, e := range r.ends[f] {
+			if e.probe && probed[e.crash] == 1 {
+				v.probes++
 			}
 		}
+		if verdicts[f] = v; v.probes == 0 {
+			continue
+		}
+		for _, e := range r.ends[f] {
+			explained[e.crash] = true
+		}
 	}
 	for f, v := range verdicts {
 		unexplained := slices.DeleteFunc(slices.Clone(r.ends[f]), func(e *end) bool { return explained[e.crash] })
-		if !v.firm && len(unexplained) < crashesToQuarantine {
+		if v.probes == 0 && len(unexplained) < crashesToQuarantine {
 			delete(verdicts, f)
 		}
 	}
@@ -329,18 +343,38 @@
 	return verdicts
 }
 
-// oneAfterTheOther returns how many of the ends followed each other, so that the request was sent to each server after the one
-// before had ended. Servers that end together may have a cause of their own, such as a rack that loses power.
-func oneAfterTheOther(list []*end) int {
-	ordered := slices.SortedFunc(slices.Values(list), func(a, b *end) int { return a.at.Compare(b.at) })
-	count := 0
-	var last time.Time
-	for _, e := range ordered {
-		if count == 0 || !e.sentAt.Before(last) {
-			count, last = count+1, e.at
+// serverEnd is the end of a backend server, whatever ran there.
+type serverEnd struct {
+	crash CrashID
+	at    time.Time
+}
+
+// serverEnds returns the ends of backend servers, the last one first.
+func (r *RequestRegistry) serverEnds() []serverEnd {
+	times := map[CrashID]time.Time{}
+	for _, list := range r.ends {
+		for _, e := range list {
+			if _, known := e.crash.ServerOf(); known && e.at.After(times[e.crash]) {
+				times[e.crash] = e.at
+			}
+		}
+	}
+	ends := make([]serverEnd, 0, len(times))
+	for crash, at := range times {
+		ends = append(ends, serverEnd{crash, at})
+	}
+	slices.SortFunc(ends, func(a, b serverEnd) int { return cmp.Or(b.at.Compare(a.at), compareCrash(a.crash, b.crash)) })
+	return ends
+}
+
+// lastWithout returns the time of the last end of a server that is not among those of a request.
+func lastWithout(ends []serverEnd, list []*end) time.Time {
+	for _, s := range ends {
+		if !slices.ContainsFunc(list, func(e *end) bool { return e.crash == s.crash }) {
+			return s.at
 		}
 	}
-	return count
+	return time.Time{}
 }
 
 // expire drops what does not count any more. It does so at most once a second.
--- a/internal/suspect/request_messages.go
+++ b/internal/suspect/request_messages.go
@@ -13,7 +13,6 @@
 	Incarnation uuid.UUID
 	Sequence    uint64
 	AgeMS       uint32
-	RanMS       uint32
 	Probe       bool
 }
 
@@ -39,7 +38,7 @@
 	for _, e := range report.Ends {
 		m.Ends = append(m.Ends, endMessage{
 			Fingerprint: e.Fingerprint, Incarnation: e.Crash.Incarnation, Sequence: e.Crash.Sequence,
-			AgeMS: toMilliseconds(e.Age), RanMS: toMilliseconds(e.Ran), Probe: e.Probe,
+			AgeMS: toMilliseconds(e.Age), Probe: e.Probe,
 		})
 	}
 	for _, a := range report.Answers {
@@ -64,7 +63,7 @@
 	for _, e := range m.Ends {
 		report.Ends = append(report.Ends, EndReport{
 			Crash: CrashID{Incarnation: e.Incarnation, Sequence: e.Sequence}, Age: fromMilliseconds(e.AgeMS),
-			LostRequest: LostRequest{Fingerprint: e.Fingerprint, Ran: fromMilliseconds(e.RanMS), Probe: e.Probe},
+			LostRequest: LostRequest{Fingerprint: e.Fingerprint, Probe: e.Probe},
 		})
 	}
 	for _, a := range m.Answers {
--- a/internal/suspect/request_report.go
+++ b/internal/suspect/request_report.go
@@ -101,7 +101,7 @@
 		e.reports++
 		ends = append(ends, EndReport{
 			Crash: e.crash, Age: max(now.Sub(e.at), 0),
-			LostRequest: LostRequest{Fingerprint: e.fingerprint, Ran: max(e.at.Sub(e.sentAt), 0), Probe: e.probe},
+			LostRequest: LostRequest{Fingerprint: e.fingerprint, Probe: e.probe},
 		})
 	}
 	return ends
@@ -116,8 +116,7 @@
 	}
 	for _, e := range report.Ends {
 		if e.Age <= endMemoryReported {
-			at := now.Add(-e.Age)
-			r.add(e.Fingerprint, end{crash: e.Crash, at: at, sentAt: at.Add(-e.Ran), probe: e.Probe})
+			r.add(e.Fingerprint, end{crash: e.Crash, at: now.Add(-e.Age), probe: e.Probe})
 		}
 	}
 	for _, p := range report.Probes {
