suspect: processes that have just started learn of quarantined requests first

Callers would have seen: a gateway that has just started, or was cut off, sends a request that ends servers, because the reports of the others go through every end of the last hour in turn: after a rack of servers ended, hundreds of them.

Cause: one end in turn was passed on with each report, whatever it meant; all were sorted for that, under the gateway's lock.

Change: each report passes on an end of a quarantined request and one of all, each in turn, found without sorting; ends that were recorded lately are kept in a list of their own.

--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -124,9 +124,12 @@
 	answers      map[Fingerprint]requestAnswer
 	probes       map[Fingerprint]requestProbe
 	// verdicts holds the requests that are quarantined. It is nil while there is evidence that judge has not seen.
-	verdicts   map[Fingerprint]verdict
-	lastRelay  int
-	lastExpiry time.Time
+	verdicts map[Fingerprint]verdict
+	// recent holds the ends that this process has recorded lately. relayed is the one of all that was passed on last, and
+	// relayedQuarantined the one of quarantined requests.
+	recent                      []suspectEnd
+	relayed, relayedQuarantined suspectEnd
+	lastExpiry                  time.Time
 }
 
 // NewRequestRegistry returns an empty registry. The incarnation must be a random identifier of this start of the process.
@@ -167,8 +170,9 @@
 	if l.Probe {
 		delete(r.probes, l.Fingerprint)
 	}
-	if e := r.add(l.Fingerprint, end{crash: crash, at: now, probe: l.Probe}); e != nil {
+	if e := r.add(l.Fingerprint, end{crash: crash, at: now, probe: l.Probe}); e != nil && !e.own {
 		e.own = true
+		r.recent = append(r.recent, suspectEnd{l.Fingerprint, e})
 	}
 }
 
--- a/internal/suspect/request_report.go
+++ b/internal/suspect/request_report.go
@@ -10,7 +10,7 @@
 const (
 	// endReportPeriod is how long a process reports an end that it has recorded. Every other process gets a report more often.
 	endReportPeriod = 3 * time.Second
-	// The limits of one report keep it below about 1,000 bytes.
+	// The limits of one report keep it below about 600 bytes.
 	maxReportedEnds    = 12
 	maxReportedAnswers = 8
 	maxReportedProbes  = 4
@@ -44,13 +44,10 @@
 }
 
 // Report returns the report for other processes: ends and answers that this process has recorded lately, those first that were
-// reported least often, and one of all ends in turn, for processes that have started since.
+// reported least often. For processes that have started since, it adds one of the ends of quarantined requests and one of all in turn.
 func (r *RequestRegistry) Report(now time.Time) RequestReport {
 	r.expire(now)
 	var report RequestReport
-	if len(r.ends)+len(r.answers)+len(r.probes) == 0 {
-		return report
-	}
 	report.Ends = r.reportEnds(now)
 	for f, a := range r.answers {
 		if age := now.Sub(a.at); a.own && age <= reportPeriod {
@@ -75,38 +72,55 @@
 	*end
 }
 
+// less orders the ends of all requests.
+func (s suspectEnd) less(other suspectEnd) bool {
+	return cmp.Or(bytes.Compare(s.fingerprint[:], other.fingerprint[:]), compareCrash(s.crash, other.crash)) < 0
+}
+
 func (r *RequestRegistry) reportEnds(now time.Time) []EndReport {
-	var all, recent []suspectEnd
-	for f, list := range r.ends {
-		for _, e := range list {
-			all = append(all, suspectEnd{f, e})
-		}
-	}
-	if len(all) == 0 {
-		return nil
-	}
-	slices.SortFunc(all, func(a, b suspectEnd) int {
-		return cmp.Or(bytes.Compare(a.fingerprint[:], b.fingerprint[:]), compareCrash(a.crash, b.crash))
+	r.recent = slices.DeleteFunc(r.recent, func(e suspectEnd) bool {
+		return now.Sub(e.at) > endReportPeriod || !slices.Contains(r.ends[e.fingerprint], e.end)
 	})
-	r.lastRelay = (r.lastRelay + 1) % len(all)
-	relayed := all[r.lastRelay]
-	for _, e := range all {
-		if e.own && now.Sub(e.at) <= endReportPeriod && e != relayed {
-			recent = append(recent, e)
+	slices.SortStableFunc(r.recent, func(a, b suspectEnd) int { return cmp.Or(cmp.Compare(a.reports, b.reports), b.at.Compare(a.at)) })
+	chosen := slices.Clone(r.recent[:min(len(r.recent), maxReportedEnds-2)])
+	r.relayedQuarantined = nextEnd(r.relayedQuarantined, r.ends, r.judge(now))
+	r.relayed = nextEnd(r.relayed, r.ends, r.ends)
+	for _, relayed := range []suspectEnd{r.relayedQuarantined, r.relayed} {
+		if relayed.end != nil && !slices.Contains(chosen, relayed) {
+			chosen = append(chosen, relayed)
 		}
 	}
-	slices.SortStableFunc(recent, func(a, b suspectEnd) int { return cmp.Or(cmp.Compare(a.reports, b.reports), b.at.Compare(a.at)) })
-	var ends []EndReport
-	for _, e := range append(recent[:min(len(recent), maxReportedEnds-1)], relayed) {
+	ends := make([]EndReport, 0, len(chosen))
+	for _, e := range chosen {
 		e.reports++
 		ends = append(ends, EndReport{
-			Crash: e.crash, Age: max(now.Sub(e.at), 0),
-			LostRequest: LostRequest{Fingerprint: e.fingerprint, Probe: e.probe},
+			Crash: e.crash, Age: max(now.Sub(e.at), 0), LostRequest: LostRequest{Fingerprint: e.fingerprint, Probe: e.probe},
 		})
 	}
 	return ends
 }
 
+// nextEnd returns the end that follows another one in the order of all ends of the selected requests, and the first after the last.
+// Its end is nil if there is none.
+func nextEnd[V any](after suspectEnd, ends map[Fingerprint][]*end, selected map[Fingerprint]V) suspectEnd {
+	var first, next suspectEnd
+	for f := range selected {
+		for _, e := range ends[f] {
+			s := suspectEnd{f, e}
+			if first.end == nil || s.less(first) {
+				first = s
+			}
+			if after.end != nil && after.less(s) && (next.end == nil || s.less(next)) {
+				next = s
+			}
+		}
+	}
+	if next.end == nil {
+		return first
+	}
+	return next
+}
+
 // Merge adds the report of another process.
 func (r *RequestRegistry) Merge(now time.Time, report RequestReport) {
 	for _, a := range report.Answers {
--- a/internal/suspect/request_test.go
+++ b/internal/suspect/request_test.go
@@ -193,6 +193,49 @@
 	}
 }
 
+// Guards against a process that has just started, or was cut off, and sends a quarantined request for minutes because the reports of
+// the others go through many ends that matter less.
+func TestLateRequestRegistry(t *testing.T) {
+	const (
+		reports = 10   // a second or two
+		middle  = 0x80 // a request in the middle of the order of fingerprints
+	)
+	cases := map[string]struct{ others int }{"few other ends": {5}, "a rack of servers": {700}, "as many as are held": {4000}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			known, late := NewRequestRegistry(uuid.UUID{1}), NewRequestRegistry(uuid.UUID{2})
+			for i := range tc.others {
+				known.RecordEnd(start, ServerKey(100+i), LostRequest{Fingerprint: NewFingerprint("workspace", fmt.Sprint(i), [16]byte{})})
+			}
+			for server := ServerKey(1); server <= 3; server++ {
+				known.RecordEnd(start, server, ended(0, server, middle).requests...)
+			}
+			known.RecordEnd(start.Add(time.Second), 4, onProbe(ended(0, 4, middle)).requests...)
+			now := start.Add(time.Minute)
+			for range reports {
+				late.Merge(now, known.Report(now))
+				now = now.Add(150 * time.Millisecond)
+			}
+			assert.Assert(t, late.Quarantined(now, Fingerprint{middle}))
+		})
+	}
+}
+
+func BenchmarkRequestReport(b *testing.B) {
+	for _, requests := range []int{40, 400, 4000} {
+		b.Run(fmt.Sprint(requests, " requests"), func(b *testing.B) {
+			r := NewRequestRegistry(uuid.UUID{1})
+			for i := range requests {
+				r.RecordEnd(start, ServerKey(i), LostRequest{Fingerprint: NewFingerprint("workspace", fmt.Sprint(i), [16]byte{})})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Report(start.Add(time.Minute))
+			}
+		})
+	}
+}
+
 // Guards against a registry that grows without limit, and against a full one that drops the newest ends.
 func TestRequestLimits(t *testing.T) {
 	r := NewRequestRegistry(uuid.UUID{1})
