--- a/internal/suspect/unanswered.go
+++ b/internal/suspect/unanswered.go
@@ -13,7 +13,7 @@
 	unansweredMemory = 10 * time.Second
 
 	maxUnansweredServers   = 1024
-	maxUnansweredPerServer = 64
+	maxUnansweredPerServer = 32
 )
 
 // UnansweredSend is a request that was sent to a backend server and never answered there.
