--- a/internal/suspect/request_fleet_test.go
+++ b/internal/suspect/request_fleet_test.go
@@ -1,7 +1,6 @@
 package suspect_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -83,7 +82,7 @@
 					}
 				}
 			}
-			t.Log(fmt.Sprintf("%d servers ended, %d late sends", servers, late))
+			t.Logf("%d servers ended, %d late sends", servers, late)
 			assert.Check(t, late <= maxLate, "%d late sends", late)
 		})
 	}
