gateway, dispatch: streams stay at an engine that is silent because it prefills

Cause: a stream counts as silent one second after its last event, unless this gateway has had another event from the engine within 600 ms. An iteration of an engine prefills up to 51 steps of 2,048 tokens, which takes up to some seconds with long prompts, and sends no event of any stream meanwhile. Class: a verdict of death that does not know what the other side was asked to do; queued requests already had the check, running ones did not.

Change: Planner.IsPrefilling compares the silence with the prefill that the engine has to do for all gateways, including its parts of joint prefills; the stream stays while this explains it. It does not if a gateway avoids the engine because of failures.

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -10,6 +10,10 @@
 // iteration.
 const progressWindow = 600 * time.Millisecond
 
+// prefillSilenceFactor allows for predictions of prefill that are too short. A larger factor delays the detection of an engine that
+// died with long prompts.
+const prefillSilenceFactor = 1.5
+
 // MadeProgress reports whether any request of this gateway at the backend server of a placed request made progress
 // recently. Such a backend server is busy rather than dead.
 func (p *Planner) MadeProgress(now time.Time, id PlacementID) bool {
@@ -33,6 +37,24 @@
 	return total.PendingPrefill + time.Duration(queued)*queuedRequestCost + iterationTime
 }
 
+// IsPrefilling reports whether the prompts that the engine of a placed request has to prefill, from all gateways, explain how long
+// this gateway has had no event from it: an iteration of an engine that also generates answers prefills up to some seconds of
+// prompts, and all its streams pause meanwhile. It is false while the request's own prompt is not prefilled, see ExpectedWait, and
+// if this or another gateway avoids the engine because of failures.
+func (p *Planner) IsPrefilling(now time.Time, id PlacementID) bool {
+	r := p.requests[id]
+	if r == nil || !r.prefillDone {
+		return false
+	}
+	st := r.servers[0]
+	total, avoided := p.groupLoad(now, st)
+	if avoided {
+		return false
+	}
+	explained := time.Duration(prefillSilenceFactor * float64(total.PendingPrefill+iterationTime))
+	return now.Sub(st.lastProgress) < explained
+}
+
 // groupLoad returns the load of a backend server from all gateways, and reports whether one of them avoids it because of
 // failures.
 func (p *Planner) groupLoad(now time.Time, st *serverState) (Load, bool) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,7 @@
 
 // extendFunc returns the function that decides, at the end of each wait for a silent attempt, whether to wait longer. It
 // waits longer if the request could not be sent again, and for a stream also while the backend server makes progress
-// with other requests, or while its load explains that the stream has not begun.
+// with other requests, or while its load explains that the stream has not begun or pauses.
 func (q *request) extendFunc(a *attempt) func() time.Duration {
 	isStream := q.admitted.Route.Kind == route.Stream
 	return func() time.Duration {
@@ -53,13 +53,20 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if !q.maySendElsewhere(now, a) || isStream && (g.planner.MadeProgress(now, a.placementID) || q.isQueued(now, a)) {
+		if !q.maySendElsewhere(now, a) || isStream && q.isBusy(now, a) {
 			return min(extendInterval, remaining)
 		}
 		return 0
 	}
 }
 
+// isBusy reports whether the backend server of the silent attempt of a stream is probably busy rather than dead. isBusy must be
+// called with the gateway's lock held.
+func (q *request) isBusy(now time.Time, a *attempt) bool {
+	planner := q.gateway.planner
+	return planner.MadeProgress(now, a.placementID) || planner.IsPrefilling(now, a.placementID) || q.isQueued(now, a)
+}
+
 // isQueued reports whether the silent attempt of a short prompt probably waits in the queue of its engine, by what other
 // gateways have reported since it was sent. Sent elsewhere, it would lose its place. isQueued must be called with the gateway's
 // lock held.
