--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,6 +50,7 @@
 	last        bool // no further send is allowed after this one
 	probe       bool // the request is sent to show whether it still ends backend servers
 	givenUp     bool // the attempt is not waited for any more, but its backend server may still run it
+	prefilling  bool // the wait for an event was extended because the engine prefills, which counts once
 	// firstEventAt is when the first event arrived; answerRecorded is set once the answer has been recorded for the parts of
 	// the prompt.
 	firstEventAt   time.Time
--- a/internal/gateway/prefilling_test.go
+++ b/internal/gateway/prefilling_test.go
@@ -12,6 +12,7 @@
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/standin/direct"
+	"berylward.example/berylward/internal/telemetry"
 )
 
 // Guards against running streams that are taken from an engine because it sends no event while it prefills long prompts. All of its
@@ -30,6 +31,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			metrics := telemetry.NewMetrics(t.Name())
 			withPeer(t, func(h *harness, other net.PacketConn) {
 				h.setFaults("pool", direct.Pauses{After: 1, For: pause}, direct.Pauses{After: 1, For: pause})
 				done := make(chan struct{})
@@ -44,7 +46,8 @@
 				assert.Check(t, got.complete)
 				assert.Check(t, is.Equal(got.body, expectedStream(got.id, 1, 5)))
 				assert.Check(t, is.Len(h.runs(got.id), tc.runs))
-			})
+				assert.Check(t, is.Equal(metrics.Slice("gateway").Get("streams-paused-by-prefill") != nil, tc.runs == 1))
+			}, gateway.WithMetrics(metrics))
 		})
 	}
 }
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -22,17 +22,17 @@
 )
 
 // withPeer is withHarness for a gateway in a group with another one, whose datagrams fn sends through the connection other.
-func withPeer(t *testing.T, fn func(h *harness, other net.PacketConn)) {
+func withPeer(t *testing.T, fn func(h *harness, other net.PacketConn), options ...gateway.Option) {
 	var other net.PacketConn
 	withHarness(t, func(h *harness) {
 		fn(h, other)
 		assert.NilError(t, other.Close())
-	}, func(g *gateway.Gateway) {
+	}, append(options, func(g *gateway.Gateway) {
 		// The network belongs to the virtual time of the harness.
 		network := standin.NewPacketNetwork(2 * time.Millisecond)
 		other = network.Listen(otherPeerAddress)
 		gateway.WithPeerConn(network.Listen(ownPeerAddress))(g)
-	})
+	})...)
 }
 
 // reportLoads sends a load at all engines as the state of another gateway, ten times a second.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,17 @@
 // called with the gateway's lock held.
 func (q *request) isBusy(now time.Time, a *attempt) bool {
 	planner := q.gateway.planner
-	return planner.MadeProgress(now, a.placementID) || planner.IsPrefilling(now, a.placementID) || q.isQueued(now, a)
+	if planner.MadeProgress(now, a.placementID) {
+		return true
+	}
+	if !planner.IsPrefilling(now, a.placementID) {
+		return q.isQueued(now, a)
+	}
+	if !a.prefilling {
+		a.prefilling = true
+		q.gateway.metrics.count("streams-paused-by-prefill")
+	}
+	return true
 }
 
 // isQueued reports whether the silent attempt of a short prompt probably waits in the queue of its engine, by what other
