--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// isBusy reports whether the backend server of the silent attempt of a stream is probably busy rather than dead. isBusy must be
-// called with the gateway's lock held.
+// isBusy reports whether the backend server of the silent attempt of a stream is probably busy rather than dead, and counts the
+// attempt once if prefill is the reason. isBusy must be called with the gateway's lock held.
 func (q *request) isBusy(now time.Time, a *attempt) bool {
 	planner := q.gateway.planner
 	if planner.MadeProgress(now, a.placementID) {
