--- a/internal/gateway/crash_fleet_test.go
+++ b/internal/gateway/crash_fleet_test.go
@@ -220,12 +220,50 @@
 	}
 }
 
+// soundCalls counts the calls of sound requests.
+type soundCalls struct {
+	running       sync.WaitGroup
+	asked, served atomic.Int64
+}
+
+// callSound sends 24 sound requests again and again, each at the next gateway 30 ms after its last answer, and counts those sent
+// within 3 s after counting begins.
+func (c *crashFleet) callSound(counting time.Time) *soundCalls {
+	const (
+		requests = 24
+		pause    = 30 * time.Millisecond
+		counted  = 3 * time.Second
+	)
+	s := &soundCalls{}
+	for i := range requests {
+		s.running.Go(func() {
+			for g := i; time.Now().Before(counting.Add(counted)); g++ {
+				counts := time.Now().After(counting)
+				ok := c.call(g%3, fmt.Sprint("/check/sound-", i), 2*time.Second)
+				if counts {
+					s.asked.Add(1)
+				}
+				if counts && ok {
+					s.served.Add(1)
+				}
+				time.Sleep(pause)
+			}
+		})
+	}
+	return s
+}
+
+// check waits for the calls to end, and checks that 99 of 100 were served.
+func (s *soundCalls) check(t *testing.T) {
+	t.Helper()
+	s.running.Wait()
+	t.Logf("%d of %d sound requests served", s.served.Load(), s.asked.Load())
+	assert.Check(t, s.served.Load()*100 >= s.asked.Load()*99, "%d of %d served", s.served.Load(), s.asked.Load())
+}
+
 // Guards against sound requests that are refused for minutes because they ran beside the one that ends backend servers.
 func TestSoundRequestsBesideCrashes(t *testing.T) {
 	const (
-		// sound is the number of sound requests. Each is asked again at the next gateway, pause after its last answer.
-		sound = 24
-		pause = 30 * time.Millisecond
 		// settled is how long after the last return of a server everything sound must be served again.
 		settled      = 4 * time.Second
 		lossInterval = 4 * time.Second
@@ -251,7 +289,6 @@
 		t.Run(name, func(t *testing.T) {
 			withCrashFleet(t, tc.servers, direct.EndsOnPath{After: 60 * time.Millisecond}, func(c *crashFleet) {
 				var calls sync.WaitGroup
-				var asked, served atomic.Int64
 				counting := time.Now().Add(max(time.Duration(tc.repeats)*500*time.Millisecond, time.Duration(tc.losses)*lossInterval) + settled)
 				calls.Go(func() {
 					for range tc.losses {
@@ -269,25 +306,11 @@
 						time.Sleep(500 * time.Millisecond)
 					}
 				})
-				for i := range sound {
-					calls.Go(func() {
-						for g := i; time.Now().Before(counting.Add(3 * time.Second)); g++ {
-							counted := time.Now().After(counting)
-							ok := c.call(g%3, fmt.Sprint("/check/sound-", i), 2*time.Second)
-							if counted {
-								asked.Add(1)
-							}
-							if counted && ok {
-								served.Add(1)
-							}
-							time.Sleep(pause)
-						}
-					})
-				}
+				callers := c.callSound(counting)
 				calls.Wait()
+				callers.check(t)
 				ended, late := c.lateSends()
-				t.Logf("%d of %d sound requests served, %d servers ended, %d late sends", served.Load(), asked.Load(), ended, late)
-				assert.Check(t, served.Load()*100 >= asked.Load()*99, "%d of %d served", served.Load(), asked.Load())
+				t.Logf("%d servers ended, %d late sends", ended, late)
 				assert.Check(t, late <= lateSendsAllowed, "sent %d times more", late)
 			})
 		})
@@ -297,10 +320,7 @@
 // Guards against sound requests that are refused for minutes because servers end one after the other for a cause of their own,
 // such as a bad release, and the requests are sent again on each next one.
 func TestSoundRequestsInRollingCrashes(t *testing.T) {
-	const (
-		sound   = 24
-		settled = 4 * time.Second
-	)
+	const settled = 4 * time.Second
 	cases := map[string]struct {
 		servers int
 		between time.Duration // two ends
@@ -312,7 +332,6 @@
 		t.Run(name, func(t *testing.T) {
 			withCrashFleet(t, tc.servers, direct.EndsOnPath{}, func(c *crashFleet) {
 				var calls sync.WaitGroup
-				var asked, served atomic.Int64
 				crashing := 6 * time.Second
 				counting := time.Now().Add(crashing + settled)
 				calls.Go(func() {
@@ -324,24 +343,9 @@
 						time.Sleep(tc.between)
 					}
 				})
-				for i := range sound {
-					calls.Go(func() {
-						for g := i; time.Now().Before(counting.Add(3 * time.Second)); g++ {
-							counted := time.Now().After(counting)
-							ok := c.call(g%3, fmt.Sprint("/check/sound-", i), 2*time.Second)
-							if counted {
-								asked.Add(1)
-							}
-							if counted && ok {
-								served.Add(1)
-							}
-							time.Sleep(30 * time.Millisecond)
-						}
-					})
-				}
+				callers := c.callSound(counting)
 				calls.Wait()
-				t.Logf("%d of %d sound requests served", served.Load(), asked.Load())
-				assert.Check(t, served.Load()*100 >= asked.Load()*99, "%d of %d served", served.Load(), asked.Load())
+				callers.check(t)
 			})
 		})
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"berylward.example/berylward/internal/backend"
@@ -151,21 +152,19 @@
 // serverKey returns the key that identifies an incarnation of a backend server in reports on suspects.
 func serverKey(s *roster.Server) suspect.ServerKey { return suspect.ServerKey(dispatch.BackendKey(s)) }
 
-// hasEnded reports whether nothing listens at the address of a backend server any more. It asks for as long as it takes, whether
-// or not a caller waits.
-func (g *Gateway) hasEnded(s *roster.Server) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
-	defer cancel()
-	g.metrics.count("crash-probes")
-	return g.pool.Refuses(ctx, s.Address)
-}
+// hasEnded reports whether nothing listens at the address of a backend server any more.
+func (g *Gateway) hasEnded(s *roster.Server) bool { return g.askServer(s, g.pool.Refuses) }
 
 // accepts reports whether a backend server takes a new connection.
-func (g *Gateway) accepts(s *roster.Server) bool {
+func (g *Gateway) accepts(s *roster.Server) bool { return g.askServer(s, g.pool.Accepts) }
+
+// askServer calls ask with the address of a backend server, for at most endedProbeTimeout. It does not end early when a caller
+// leaves, because the outcome concerns other requests too.
+func (g *Gateway) askServer(s *roster.Server, ask func(context.Context, netip.AddrPort) bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
 	defer cancel()
 	g.metrics.count("crash-probes")
-	return g.pool.Accepts(ctx, s.Address)
+	return ask(ctx, s.Address)
 }
 
 // wentOn reports whether the answer of an attempt has gone on for a while after its first event.
--- a/internal/gateway/prefilling_test.go
+++ b/internal/gateway/prefilling_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -33,19 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			metrics := telemetry.NewMetrics(t.Name())
 			withPeer(t, func(h *harness, other net.PacketConn) {
-				h.setFaults("pool", direct.Pauses{After: 1, For: pause}, direct.Pauses{After: 1, For: pause})
-				done := make(chan struct{})
-				go func() {
-					defer close(done)
-					time.Sleep(150 * time.Millisecond)
-					h.reportLoads(other, tc.load, 15)
-				}()
-				got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
-				<-done
-				assert.Check(t, is.Equal(got.Status, 200))
-				assert.Check(t, got.complete)
-				assert.Check(t, is.Equal(got.body, expectedStream(got.id, 1, 5)))
-				assert.Check(t, is.Len(h.runs(got.id), tc.runs))
+				h.checkPausedStream(other, direct.Pauses{After: 1, For: pause}, tc.load, tc.runs)
 				assert.Check(t, is.Equal(metrics.Slice("gateway").Get("streams-paused-by-prefill") != nil, tc.runs == 1))
 			}, gateway.WithMetrics(metrics))
 		})
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/gateway"
@@ -60,6 +61,25 @@
 	assert.NilError(h.test, err)
 }
 
+// checkPausedStream checks that a stream is complete which pauses at each engine, while another gateway reports a load at all
+// engines, and how many engines run it.
+func (h *harness) checkPausedStream(other net.PacketConn, pauses direct.Pauses, load dispatch.Load, runs int) {
+	h.test.Helper()
+	h.setFaults("pool", pauses, pauses)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(150 * time.Millisecond)
+		h.reportLoads(other, load, 15)
+	}()
+	got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
+	<-done
+	assert.Check(h.test, is.Equal(got.Status, 200))
+	assert.Check(h.test, got.complete)
+	assert.Check(h.test, is.Equal(got.body, expectedStream(got.id, 1, 5)))
+	assert.Check(h.test, is.Len(h.runs(got.id), runs))
+}
+
 // Guards against streams that wait in the queue of an engine and are cut for their silence, because this gateway did not know
 // of the requests before them when it sent them. After all gateways had restarted, hundreds lost their place within some
 // milliseconds, went to the same engines again and used up the retry limit.
@@ -78,19 +98,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			withPeer(t, func(h *harness, other net.PacketConn) {
-				h.setFaults("pool", direct.Pauses{After: 0, For: pause}, direct.Pauses{After: 0, For: pause})
-				done := make(chan struct{})
-				go func() {
-					defer close(done)
-					time.Sleep(150 * time.Millisecond)
-					h.reportLoads(other, tc.load, 15)
-				}()
-				got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) { c.Timeout = 10 * time.Second })
-				<-done
-				assert.Equal(t, got.Status, 200)
-				assert.Assert(t, got.complete)
-				assert.Equal(t, got.body, expectedStream(got.id, 1, 5))
-				assert.Equal(t, len(h.runs(got.id)), tc.runs)
+				h.checkPausedStream(other, direct.Pauses{After: 0, For: pause}, tc.load, tc.runs)
 			})
 		})
 	}
--- a/internal/sidecar/failure.go
+++ b/internal/sidecar/failure.go
@@ -72,9 +72,6 @@
 	}
 }
 
-// runsOnTime is how long a backend server may go on with a request that was given up.
-const runsOnTime = time.Second
-
 // mayRun reports whether the backend server may still have been running the request when it failed: also one that was cancelled
 // or given up, for a while.
 func (s *stream) mayRun(now time.Time) bool {
@@ -82,7 +79,7 @@
 		return s.started
 	}
 	_, failed := s.lastMessage.(*link.Failed)
-	return failed && now.Sub(s.endedAt) < runsOnTime
+	return failed && now.Sub(s.endedAt) < suspect.RunsOnTime
 }
 
 // hasRunning reports whether the backend server runs any request.
--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -95,9 +95,9 @@
 
 // until returns when the request may be tried again. While other servers end, a probe that is lost would say nothing.
 func (v verdict) until() time.Time {
-	until, calm := v.last.Add(v.wait()), v.lastOther.Add(requestTentativeTime)
-	if calm.After(until) {
-		return calm
+	until, afterOthers := v.last.Add(v.wait()), v.lastOther.Add(requestTentativeTime)
+	if afterOthers.After(until) {
+		return afterOthers
 	}
 	return until
 }
--- a/internal/suspect/unanswered.go
+++ b/internal/suspect/unanswered.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
+// RunsOnTime is how long a backend server may go on with a request for which nobody waits any more.
+const RunsOnTime = time.Second
+
 const (
-	// runsOnTime is how long a backend server may go on with a request for which nobody waits any more.
-	runsOnTime = time.Second
 	// unansweredMemory is how long a request counts as unanswered at a backend server from which nothing more is heard. It exceeds
 	// the time after which the platform removes the entry of a server that has ended.
 	unansweredMemory = 10 * time.Second
@@ -59,7 +60,7 @@
 // RecordAlive records that a server was alive, so that it did not end under what was given up long enough before.
 func (u *UnansweredSends) RecordAlive(now time.Time, server ServerKey) {
 	if list, ok := u.servers[server]; ok {
-		u.keep(server, slices.DeleteFunc(list, func(s UnansweredSend) bool { return now.Sub(s.GaveUpAt) >= runsOnTime }))
+		u.keep(server, slices.DeleteFunc(list, func(s UnansweredSend) bool { return now.Sub(s.GaveUpAt) >= RunsOnTime }))
 	}
 }
 
