--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -315,19 +315,25 @@
 
 // routeEntry and the other types are written as the pages show them.
 type routeEntry struct {
-	Name            string `json:"name"`
-	Host            string `json:"host"`
-	Prefix          string `json:"prefix"`
-	Kind            string `json:"kind"`
-	TimeoutMs       int    `json:"timeoutMs"`
-	TargetLatencyMs int    `json:"targetLatencyMs"`
-	Priority        int    `json:"priority"`
-	Service         string `json:"service"`
-	MaxAttempts     int    `json:"maxAttempts"`
-	Public          bool   `json:"public"`
-	Sticky          bool   `json:"sticky"`
-	Resumable       bool   `json:"resumable"`
-	TargetGapMs     int    `json:"targetGapMs,omitempty"`
+	Name            string  `json:"name"`
+	Host            string  `json:"host"`
+	Prefix          string  `json:"prefix"`
+	Kind            string  `json:"kind"`
+	TimeoutMs       int     `json:"timeoutMs"`
+	TargetLatencyMs int     `json:"targetLatencyMs"`
+	Priority        int     `json:"priority"`
+	Service         string  `json:"service,omitempty"`
+	Backends        []share `json:"backends,omitempty"`
+	MaxAttempts     int     `json:"maxAttempts"`
+	Public          bool    `json:"public"`
+	Sticky          bool    `json:"sticky"`
+	Resumable       bool    `json:"resumable"`
+	TargetGapMs     int     `json:"targetGapMs,omitempty"`
+}
+
+type share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 func llmService(name string) map[string]any {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -35,6 +35,7 @@
 	seq       int
 	runs      []run
 	stopBeats chan struct{}
+	server    *http.Server
 }
 
 // run is what a worker saw of one request.
@@ -58,7 +59,7 @@
 	if engine {
 		w.slots = 16
 	}
-	f.serve(l, w)
+	w.server = f.serve(l, w)
 	f.workers = append(f.workers, w)
 	w.beat()
 	go w.beats()
@@ -99,6 +100,20 @@
 	}
 }
 
+// crash ends the worker for good: its channels are closed, and nothing listens at its address any more. The store removes
+// its entry after three heartbeats of silence.
+func (w *worker) crash() {
+	w.fleet.rec.add("worker %s (%s) crashes", w.id, w.service)
+	_ = w.server.Close()
+	w.mu.Lock()
+	w.state = ""
+	w.mu.Unlock()
+	time.AfterFunc(3*heartbeat, func() {
+		w.fleet.store.Delete("servers/" + w.id)
+		w.fleet.rec.add("store: servers/%s removed", w.id)
+	})
+}
+
 // overwrittenBy holds the keys that another writer has written since the last beat.
 var overwrittenBy sync.Map
 
