--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 )
@@ -100,5 +99,3 @@
 	c.answer = string(body)
 	return err
 }
-
-var _ = netip.AddrPort{}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -36,6 +37,7 @@
 	runs      []run
 	stopBeats chan struct{}
 	server    *http.Server
+	hangs     float64 // share of the plain requests that are never answered
 }
 
 // run is what a worker saw of one request.
@@ -100,6 +102,15 @@
 	}
 }
 
+// leave removes the worker's entry. It goes on serving, as workers do that never report that they drain.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.state = ""
+	w.mu.Unlock()
+	w.fleet.store.Delete("servers/" + w.id)
+	w.fleet.rec.add("store: servers/%s removed; the worker goes on serving", w.id)
+}
+
 // crash ends the worker for good: its channels are closed, and nothing listens at its address any more. The store removes
 // its entry after three heartbeats of silence.
 func (w *worker) crash() {
@@ -173,6 +184,14 @@
 		return
 	}
 	w.begin(n)
+	w.mu.Lock()
+	hangs := w.hangs
+	w.mu.Unlock()
+	if rand.Float64() < hangs {
+		<-ctx.Done()
+		w.end(n, "hung")
+		return
+	}
 	if !sleep(ctx, w.work) {
 		w.end(n, "channel closed")
 		return
