--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,13 @@
 		fmt.Println("could not run:", err)
 		return exitNotRun
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(exitNotRun)
+	}()
 	began := time.Now()
 	r, err := cases[os.Args[1]](f, trouble)
 	f.close()
