demo: the test of a failing sidecar kills only the sidecar that serves

Cause: the test. It went through the sidecars and killed each one that ran a request at that moment. The entry resumes the stream within milliseconds, so a later one in the loop could be the sidecar that had taken it over. Both workers of the model were then gone, and the entry's failure was true.

Change: the sidecar that runs the request is determined first, must be the only one, and only that one is killed. The check of the answer is the same; that exactly one sidecar runs the request is checked in addition.

Conclusion: a fault of the test.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -209,12 +209,9 @@
 		lines := bufio.NewReader(w.Body)
 		first, err := lines.ReadString('\n')
 		assert.NilError(t, err)
-		for name, s := range f.Sidecars {
-			if s.Status().Running > 0 {
-				s.Kill()
-				delete(f.Sidecars, name)
-			}
-		}
+		serving := runningSidecar(t, f)
+		f.Sidecars[serving].Kill()
+		delete(f.Sidecars, serving)
 		rest, err := io.ReadAll(lines)
 		assert.NilError(t, err)
 		assert.Equal(t, w.Trailer.Get("Berylward-Outcome"), "done", string(rest))
@@ -222,6 +219,21 @@
 	})
 }
 
+// runningSidecar returns the name of the only sidecar that runs a request. It returns before any sidecar is killed: the
+// entry resumes a stream within milliseconds, so a loop that kills while it asks for the status can also kill the
+// sidecar that has taken the stream over.
+func runningSidecar(t *testing.T, f *demo.Fleet) string {
+	t.Helper()
+	var running []string
+	for name, s := range f.Sidecars {
+		if s.Status().Running > 0 {
+			running = append(running, name)
+		}
+	}
+	assert.Equal(t, len(running), 1, "%v", running)
+	return running[0]
+}
+
 // Guards against memory that stays reserved after a caller has disconnected.
 func TestCallerDisconnects(t *testing.T) {
 	withFleet(t, nil, func(f *demo.Fleet) {
