--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,9 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
-	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
 	"berylward.example/berylward/internal/route"
@@ -260,66 +257,6 @@
 	q.gateway.metrics.count("callers-left")
 }
 
-// attemptsLeft returns how many more backend servers may run the request. Backend servers that have ended do not count
-// against the route's limit; those that drain do, because they may still be running it.
-func (q *request) attemptsLeft() int {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	return q.countAttemptsLeft()
-}
-
-// countAttemptsLeft is attemptsLeft for callers that hold the gateway's lock.
-func (q *request) countAttemptsLeft() int {
-	remaining := q.admitted.Route.MaxAttempts
-	for _, s := range q.ranOn {
-		if q.gateway.roster.Present(s) {
-			remaining--
-		}
-	}
-	return remaining
-}
-
-// maySendElsewhere reports whether the request could be sent to another backend server if a running attempt, which may
-// have run, ended now. It must be called with the gateway's lock held.
-func (q *request) maySendElsewhere(now time.Time, a *attempt) bool {
-	g := q.gateway
-	if q.sends >= maxSends || !q.admitted.Route.Idempotent() || !g.retries.Allows(now, dispatch.ServiceKey(q.service)) {
-		return false
-	}
-	left := q.countAttemptsLeft()
-	if g.roster.Present(a.server) {
-		left--
-	}
-	_, admitted := q.stillAdmitted()
-	return left > 0 && admitted && !g.requests.Quarantined(now, q.fingerprint) && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
-		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
-	})
-}
-
-// mayRetry reports whether the request may be sent again after it may have run on the backend servers in q.ranOn.
-func (q *request) mayRetry() bool {
-	if q.sends >= maxSends || q.ctx.Err() != nil {
-		return false
-	}
-	if len(q.ranOn) == 0 {
-		return true
-	}
-	return q.admitted.Route.Idempotent() && q.attemptsLeft() > 0
-}
-
-// retryDelay returns the retry delay for the caller of a request that may not be sent again. It is the time until a
-// backend server takes requests again if none does now.
-func (q *request) retryDelay() time.Duration {
-	g := q.gateway
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if wait := g.planner.NextFree(now, g.roster.InService(q.service)); wait > 0 {
-		return wait
-	}
-	return retryAfterDefault
-}
-
 // mayStillSend reports whether the backend servers of an attempt still take requests. Time passes between the placement
 // and the send when memory is reserved first.
 func (q *request) mayStillSend(a *attempt) bool {
@@ -334,92 +271,3 @@
 	}
 	return true
 }
-
-// recordOutcome reports the outcome of an attempt to the planner and releases the memory reserved for it.
-func (q *request) recordOutcome(a *attempt, o dispatch.Outcome) {
-	g := q.gateway
-	now := g.clock.Now()
-	g.mu.Lock()
-	g.planner.RecordEnd(now, a.placementID, o)
-	switch o.(type) {
-	case dispatch.Answered, dispatch.Errored, dispatch.Full:
-		g.unanswered.RecordAlive(now, serverKey(a.server))
-	default:
-	}
-	g.mu.Unlock()
-	if a.leases != nil {
-		a.leases.release()
-	}
-}
-
-// handleFailure decides what follows an attempt that failed before a complete response arrived.
-func (q *request) handleFailure(a *attempt, err error) attemptResult {
-	var failure *backend.Error
-	if !errors.As(err, &failure) {
-		failure = &backend.Error{Op: "exchange", Kind: backend.KindConnectionLost, Err: err}
-	}
-	if failure.Sent() {
-		q.ranOn = append(q.ranOn, a.server)
-	}
-	q.tried = append(q.tried, a.server.ID)
-	if failure.Sent() && failure.Kind != backend.KindConnectionLost {
-		q.recordGivenUp(a)
-	}
-	if q.ctx.Err() != nil {
-		q.recordOutcome(a, dispatch.Abandoned{})
-		q.expire()
-		return completed{}
-	}
-	switch {
-	case failure.Kind == backend.KindConnectionLost && failure.Reused:
-		// The backend server may have closed an idle connection, which says little about its health.
-		q.recordOutcome(a, dispatch.Abandoned{})
-	case failure.Kind == backend.KindDial:
-		q.recordOutcome(a, dispatch.Unreachable{})
-	default:
-		q.recordOutcome(a, dispatch.Lost{})
-	}
-	switch {
-	case failure.Kind == backend.KindConnectionLost:
-		q.recordLostConnection(a, failure)
-	case failure.Refused():
-		q.gateway.recordRefusedDial(a.server)
-	}
-	q.gateway.metrics.count("attempts-" + string(failure.Kind))
-	q.gateway.log.Info("attempt lost", "request", q.req.ID, "backend", a.server.ID, "kind", string(failure.Kind), "reused", failure.Reused,
-		"error", failure.Err.Error(), "elapsed-ms", q.elapsed().Milliseconds(), "delivered", q.delivered)
-	return retryable{"backend-" + string(failure.Kind)}
-}
-
-// handleRefusal decides what follows a response that says that the request did not run.
-func (q *request) handleRefusal(a *attempt, r ResponseHead) attemptResult {
-	if r.RetryAfter == 0 {
-		q.tried = append(q.tried, a.server.ID)
-	}
-	if faulty := q.faultyHelper(a, r); faulty != nil {
-		now := q.gateway.clock.Now()
-		q.gateway.mu.Lock()
-		q.gateway.planner.RecordHelperFailure(now, faulty)
-		q.gateway.mu.Unlock()
-		q.tried = append(q.tried, faulty.ID)
-		q.recordOutcome(a, dispatch.Abandoned{})
-	} else if r.Misdirected {
-		q.recordOutcome(a, dispatch.Gone{})
-	} else {
-		q.recordOutcome(a, dispatch.Full{})
-	}
-	q.gateway.metrics.count("attempts-refused")
-	q.gateway.log.Info("attempt refused", "request", q.req.ID, "backend", a.server.ID, "status", r.Status, "culprit", r.FaultyServer,
-		"misdirected", r.Misdirected, "elapsed-ms", q.elapsed().Milliseconds())
-	return retryable{"backend-refused"}
-}
-
-// faultyHelper returns the helper that a response names as the cause of the failure, or nil.
-func (q *request) faultyHelper(a *attempt, r ResponseHead) *roster.Server {
-	for _, s := range a.helpers {
-		if r.FaultyServer == s.ID || r.FaultyServer == s.Address.String() {
-			return s
-		}
-	}
-	return nil
-}
