gateway, dispatch: a stop tells the callers of requests that cannot end in time

The users' record around SIGTERMs is the same loss: engines that fail make the queue long. Requests that were sent and not answered, and answers that their callers had not read, were cut too.

Cause: Stop waited until nothing was running or the time was over, and then closed every connection. Nothing told held requests; what arrived in the stop was checked only on arrival, by its own time limit.

Change: a profile has a time by which the answer must be complete; a placement that would probably be too late becomes a refusal (ends-too-late), decided again at each placement and when the stop begins. Shortly before the end the contexts of running requests are canceled: 503 for what has not run, 502 for what may have run, streams that have begun are cut.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,9 @@
 	// The first event is late after TargetTime and too late for the caller after Deadline. A request without these
 	// times is never held.
 	TargetTime, Deadline time.Time
+	// CompleteBy is when the answer must be complete because the gateway ends; zero while it does not. A request whose answer
+	// would probably be complete later is refused.
+	CompleteBy time.Time
 	// ColdPerSecond limits the rate of requests that all gateways together send to one cold backend server; zero
 	// means no limit.
 	ColdPerSecond float64
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -42,6 +42,11 @@
 
 // Place decides where a request goes, given the backend servers in service and the IDs of those that have been tried.
 func (p *Planner) Place(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) Placement {
+	return limitToCompletion(now, profile, p.placeAnyTime(now, profile, servers, tried))
+}
+
+// placeAnyTime is Place without regard to the time by which the answer must be complete.
+func (p *Planner) placeAnyTime(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) Placement {
 	if len(servers) == 0 {
 		return NoPlacement{Reason: NoServer, RetryAfter: retryAfterNoServer}
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -81,6 +81,8 @@
 	Overloaded Reason = "overloaded"
 	// NoMemory means that the request has been held for memory for as long as allowed.
 	NoMemory Reason = "no-memory"
+	// EndsTooLate means that the answer would probably not be complete before the gateway ends.
+	EndsTooLate Reason = "ends-too-late"
 	// TooLarge means that the prompt needs more memory than the engines of one joint prefill have together.
 	TooLarge Reason = "too-large"
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,10 +93,7 @@
 			return a
 		}
 		began := q.gateway.clock.Now()
-		select {
-		case <-q.ctx.Done():
-		case <-q.gateway.clock.After(wait):
-		}
+		q.awaitHold(wait)
 		q.heldTime += q.gateway.clock.Since(began)
 	}
 }
@@ -110,6 +107,10 @@
 		q.expire()
 		return nil, 0
 	}
+	if q.outlastsShutdown(remaining) {
+		q.giveUp("stopping", retryAfterElsewhere)
+		return nil, 0
+	}
 	g.mu.Lock()
 	admitted, ok := q.stillAdmitted()
 	requestQuarantine, quarantined := q.checkRequest(now).(suspect.RequestQuarantined)
@@ -236,14 +237,14 @@
 // the response, because the caller is waiting for the next event.
 func (q *request) currentProfile() dispatch.RequestProfile {
 	profile := q.profile
-	profile.HoldID = q.holdID
+	profile.HoldID, profile.CompleteBy = q.holdID, q.completeBy()
 	if q.delivered {
 		profile.TargetTime, profile.Deadline = time.Time{}, time.Time{}
 	}
 	return profile
 }
 
-// expire ends a request whose deadline has passed or whose caller has disconnected.
+// expire ends a request whose deadline has passed, which must end because of a shutdown, or whose caller has disconnected.
 func (q *request) expire() {
 	if q.deadline.Sub(q.gateway.clock.Now()) < minRemaining {
 		if len(q.ranOn) == 0 && !q.delivered {
@@ -253,6 +254,10 @@
 		q.fail("deadline")
 		return
 	}
+	if q.gateway.shutdown.hasEndedRequests() {
+		q.giveUp("stopping", retryAfterElsewhere)
+		return
+	}
 	q.outcome = "caller-left"
 	q.gateway.metrics.count("callers-left")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -66,7 +67,7 @@
 	tomb               tomb.Tomb
 	incarnation        uint64
 	active             atomic.Int64
-	stopping           atomic.Int64 // start of the shutdown as Unix nanoseconds; zero while serving
+	shutdown           *shutdown
 
 	// mu guards the fields from currentTable to watch.
 	mu           sync.Mutex
@@ -133,6 +134,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.shutdown = newShutdown(g.tomb.Context(context.Background()))
 	if g.pool == nil {
 		g.pool = backend.NewPool(g.clock, nil)
 	}
@@ -209,7 +211,7 @@
 
 // Ready reports whether callers should be sent to this gateway.
 func (g *Gateway) Ready() bool {
-	if g.stopping.Load() != 0 {
+	if g.shutdown.hasBegun() {
 		return false
 	}
 	g.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -60,6 +60,7 @@
 	boot     *bootClock
 	client   *http.Client
 	ready    *http.Client
+	callers  *standin.MemoryListener
 	version  int64
 	// retryReserve is the RetryReserve setting of the gateway.
 	retryReserve float64
@@ -112,7 +113,7 @@
 		prepare(h)
 		storeListener := h.listen(storeAddress, h.store)
 		callers, ready := standin.NewMemoryListener(callerAddress), standin.NewMemoryListener(readyAddress)
-		h.client, h.ready = callers.Client(), ready.Client()
+		h.client, h.ready, h.callers = callers.Client(), ready.Client(), callers
 		store := platform.NewStore(storeAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
 			time.Sleep(h.storeDelay)
 			return storeListener.DialContext(ctx, network, address)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -121,7 +121,7 @@
 func (g *Gateway) encodeState(now time.Time, loads []dispatch.Load) []byte {
 	sequence, members := g.group.NextDatagram(now)
 	s := peering.State{
-		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.stopping.Load() != 0, Members: members, Loads: loads,
+		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.shutdown.hasBegun(), Members: members, Loads: loads,
 		RetryUsage: g.retries.LocalUsage(now), Stamp: uint64(g.boot.Now().UnixMilli()),
 	}
 	queue := g.planner.Queue(now)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -96,6 +96,7 @@
 		q.outcome = "answered-error"
 	}
 	q.gateway.protocol.CopyHeaders(q.response.Header(), resp)
+	q.announceClose()
 	q.response.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.response.WriteHeader(head.Status)
 	q.firstByte = q.elapsed()
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -41,7 +41,23 @@
 	_, admitted := q.stillAdmitted()
 	return left > 0 && admitted && !g.requests.Quarantined(now, q.fingerprint) && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
 		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
-	})
+	}) && q.completesElsewhere(now, a)
+}
+
+// completesElsewhere reports whether another backend server could complete the answer before the end of a shutdown, if there
+// is one. It must be called with the gateway's lock held.
+func (q *request) completesElsewhere(now time.Time, a *attempt) bool {
+	if q.completeBy().IsZero() {
+		return true
+	}
+	g := q.gateway
+	tried := append(slices.Clone(q.tried), a.server.ID)
+	switch g.planner.Place(now, q.currentProfile(), g.roster.InService(q.service), tried).(type) {
+	case dispatch.Send, dispatch.JointPrefill:
+		return true
+	case dispatch.Hold, dispatch.NoPlacement:
+	}
+	return false
 }
 
 // mayRetry reports whether the request may be sent again after it may have run on the backend servers in q.ranOn.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -72,10 +72,9 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	q := &request{gateway: g, response: w, ctx: r.Context(), arrivedAt: g.clock.Now()}
-	if g.stopping.Load() != 0 {
-		w.Header().Set("Connection", "close")
-	}
+	ctx, release := g.shutdown.requestContext(r.Context())
+	defer release()
+	q := &request{gateway: g, response: w, ctx: ctx, arrivedAt: g.clock.Now()}
 	req, err := g.protocol.DecodeRequest(r)
 	q.req = req
 	if err != nil {
@@ -188,12 +187,19 @@
 	if err := control.SetReadDeadline(q.deadline); err != nil {
 		q.gateway.metrics.count("deadline-errors")
 	}
+	// A body that does not arrive before the end of a shutdown is not waited for.
+	release := context.AfterFunc(q.ctx, func() { _ = control.SetReadDeadline(longAgo) })
+	defer release()
 	data, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		q.reject(BodyTooLarge, err)
 		return false
+	case err != nil && q.gateway.shutdown.hasEndedRequests():
+		q.response.Header().Set("Connection", "close")
+		q.refuse("stopping", retryAfterElsewhere)
+		return false
 	case err != nil:
 		q.gateway.metrics.count("bodies-cut")
 		q.gateway.log.Info("request body not received", "request", q.req.ID, "error", err.Error())
@@ -276,6 +282,7 @@
 func (q *request) reject(rejection Rejection, cause error) {
 	q.gateway.metrics.count("rejected-" + string(rejection))
 	q.gateway.log.Info("request rejected", "request", q.req.ID, "why", string(rejection), "cause", cause.Error())
+	q.announceClose()
 	q.gateway.protocol.WriteFailure(q.response, &q.req, Rejected{rejection})
 }
 
@@ -283,6 +290,7 @@
 func (q *request) refuse(reason string, retryAfter time.Duration) {
 	q.outcome = "refused-" + reason
 	q.gateway.metrics.count("refused-" + reason)
+	q.announceClose()
 	q.gateway.protocol.WriteFailure(q.response, &q.req, NotRun{RetryAfter: retryAfter})
 }
 
@@ -295,6 +303,7 @@
 		q.finish()
 		panic(http.ErrAbortHandler)
 	}
+	q.announceClose()
 	q.gateway.protocol.WriteFailure(q.response, &q.req, MayHaveRun{Expired: q.deadline.Sub(q.gateway.clock.Now()) < minRemaining})
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -37,7 +37,7 @@
 // Status returns the current state of the gateway.
 func (g *Gateway) Status() Status {
 	s := Status{
-		Instance: g.Instance, Ready: g.Ready(), Stopping: g.stopping.Load() != 0, Running: g.active.Load(),
+		Instance: g.Instance, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
 	}
 	g.mu.Lock()
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,134 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"berylward.example/berylward/internal/gateway"
+	"berylward.example/berylward/internal/standin/direct"
+	"berylward.example/berylward/platform"
+)
+
+// makeBusy makes all backend servers of a service refuse requests for a time, and the gateway know it.
+func (h *harness) makeBusy(path string, d time.Duration) {
+	h.setFaults(serviceOf(path), direct.RefusesFor{For: d}, direct.RefusesFor{For: d})
+	for range 2 {
+		h.call(http.MethodPost, path, func(c *gateway.CallerRequest) { c.Timeout = 100 * time.Millisecond })
+	}
+	h.setFaults(serviceOf(path), direct.NoFault{}, direct.NoFault{})
+}
+
+// Guards against requests whose callers get no answer when the gateway stops: those that it holds, those between two sends,
+// those that were sent and not answered, and streams whose connection is closed as if they were complete.
+func TestStopAnswersCallers(t *testing.T) {
+	const path, longAnswerPath, shutdown = "/review/a", "/review/long", 8 * time.Second
+	cases := map[string]struct {
+		prepare func(*harness)
+		path    string
+		// after is when the request is sent; the gateway stops a second after the start of the test.
+		after    time.Duration
+		status   int
+		complete bool
+		// within bounds the time from the stop to the end of the answer.
+		within time.Duration
+		runs   int
+	}{
+		"held longer than the shutdown": {func(h *harness) { h.makeBusy(path, 10*time.Second) }, path, 0, 503, true, 50 * time.Millisecond, 0},
+		"held, arrives in the shutdown": {func(h *harness) { h.makeBusy(path, 10*time.Second) }, path, 2 * time.Second, 503, true, 1100 * time.Millisecond, 0},
+		"held for less":                 {func(h *harness) { h.makeBusy(path, 4*time.Second) }, path, 0, 200, true, shutdown, 1},
+		"between two sends": {func(h *harness) {
+			h.strike(path, direct.RefusesFor{For: 10 * time.Second})
+			h.setFaults("pool", direct.Errors{}, direct.Errors{})
+		}, path, 0, 502, true, 50 * time.Millisecond, 1},
+		"unanswered":               {func(h *harness) { h.setFaults("pool", direct.NeverAnswers{}, direct.NeverAnswers{}) }, path, 0, 502, true, shutdown, 2},
+		"unanswered, not repeated": {func(h *harness) { h.setFaults("pool", direct.NeverAnswers{}, direct.NeverAnswers{}) }, "/once/a", 0, 502, true, shutdown, 1},
+		// The answer is long, so that another engine could not complete it before the end of the shutdown.
+		"stream pauses, too late to go elsewhere": {func(h *harness) {
+			pauses := direct.Pauses{After: 2, For: 6 * time.Second}
+			h.setFaults("pool", pauses, pauses)
+		}, longAnswerPath, 0, 200, true, shutdown, 1},
+		"no event yet, too late to go elsewhere": {func(h *harness) {
+			pauses := direct.Pauses{For: 3 * time.Second}
+			h.setFaults("pool", pauses, pauses)
+		}, longAnswerPath, 500 * time.Millisecond, 200, true, shutdown, 1},
+		"stream has begun": {func(h *harness) {
+			pauses := direct.Pauses{After: 2, For: time.Minute}
+			h.setFaults("pool", pauses, pauses)
+		}, path, 0, 200, false, shutdown, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				tc.prepare(h)
+				began := time.Now()
+				results := make(chan result, 1)
+				time.AfterFunc(tc.after, func() {
+					results <- h.call(http.MethodPost, tc.path, func(c *gateway.CallerRequest) {
+						c.Timeout, c.Prompt = 15*time.Second, &gateway.Prompt{Tokens: 5000, MaxOutputTokens: 300}
+						if tc.path == longAnswerPath {
+							c.Prompt.MaxOutputTokens = 9000
+						}
+					})
+				})
+				time.Sleep(time.Second)
+				stopped := make(chan error, 1)
+				go func() { stopped <- h.gateway.Stop(h.test.Context()) }()
+				got := <-results
+				took := time.Since(began) - time.Second
+				assert.Check(t, is.Equal(got.Status, tc.status))
+				assert.Check(t, is.Equal(got.complete, tc.complete))
+				assert.Check(t, is.Equal(got.NotRun, tc.status == 503))
+				assert.Check(t, is.Len(h.runs(got.id), tc.runs))
+				assert.Check(t, took <= tc.within, "%v after the stop", took)
+				assert.NilError(t, <-stopped)
+				assert.Check(t, time.Since(began)-time.Second < shutdown)
+			})
+		})
+	}
+}
+
+// Guards against an answer that is lost because its caller reads it late, and a request whose body arrives too slowly and
+// that gets no answer.
+func TestStopWaitsForSlowCallers(t *testing.T) {
+	t.Run("answer not read yet", func(t *testing.T) {
+		withHarness(t, func(h *harness) {
+			conn, err := h.callers.DialContext(h.test.Context(), "tcp", "")
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			c := gateway.CallerRequest{ID: "slow", Method: http.MethodGet, Target: "/look/a", Host: callerHost, Key: callerKey, Timeout: 10 * time.Second}
+			stopped := make(chan error, 1)
+			go func() { stopped <- h.gateway.Stop(h.test.Context()) }()
+			// The answer is written before the gateway has waited for load balancers, and read after that.
+			time.Sleep(2 * time.Second)
+			assert.NilError(t, platform.EncodeCallerRequest(callerAddress, c, nil).Write(conn))
+			time.Sleep(2500 * time.Millisecond)
+			answer, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Assert(t, is.Contains(string(answer), direct.Body("slow")))
+			assert.NilError(t, <-stopped)
+		})
+	})
+	t.Run("body not complete", func(t *testing.T) {
+		withHarness(t, func(h *harness) {
+			body, send := io.Pipe()
+			c := gateway.CallerRequest{ID: "slow", Method: http.MethodPost, Target: "/draft/a", Host: callerHost, Key: callerKey, Timeout: 10 * time.Second}
+			r := platform.EncodeCallerRequest(callerAddress, c, nil).WithContext(h.test.Context())
+			r.Body, r.ContentLength = body, 100
+			stopped := make(chan error, 1)
+			time.AfterFunc(time.Second, func() { stopped <- h.gateway.Stop(h.test.Context()) })
+			go func() { _, _ = io.WriteString(send, "a part") }()
+			resp, err := h.client.Do(r)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, len(h.runs("slow")), 0)
+			assert.NilError(t, <-stopped)
+			assert.NilError(t, send.Close())
+		})
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -247,6 +247,7 @@
 // writeHead sends the head of the response.
 func (q *request) writeHead(x *backend.Exchange) {
 	q.gateway.protocol.CopyHeaders(q.response.Header(), x.Response)
+	q.announceClose()
 	q.response.WriteHeader(x.Response.StatusCode)
 	q.delivered = true
 	q.firstByte = q.elapsed()
