entry: a stop that ends before its requests tells their callers the outcome

Cause: http.Server.Shutdown was given the whole time, and what it left was closed. Change: half a second before the end the requests that still run are canceled, and their callers are told whether they may have run (entry-stopping).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -115,8 +115,11 @@
 }
 
 func contextReason(ctx context.Context) answer.Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return answer.ReasonDeadline
+	case errors.Is(cause, errStopping):
+		return answer.ReasonEntryStopping
 	}
 	return answer.ReasonCancelled
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,10 @@
 	server   *http.Server
 	tomb     tomb.Tomb
 	stopping atomic.Bool
-	sequence atomic.Uint64
+	// requestsEnded is canceled when running requests must end because the entry stops.
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
+	sequence      atomic.Uint64
 
 	mu              sync.Mutex
 	view            *fleet.View
@@ -162,6 +165,7 @@
 	}
 	watcher := generation.NewWatcher(e.exchange, e.platform, e.clock, seed, e.isWatcher)
 	ctx := e.tomb.Context(context.Background())
+	e.requestsEnded, e.endRequests = context.WithCancel(ctx)
 	e.tomb.Go(func() error {
 		e.tomb.Go(func() error { return watcher.Run(ctx) })
 		e.tomb.Go(func() error { return e.watchInstances(ctx) })
@@ -176,16 +180,37 @@
 	return e, nil
 }
 
-// Stop stops the entry gracefully, without aborting requests: it reports not ready, closes the listener, waits for
-// the requests to end, and then closes the links. ctx bounds the wait.
+// stopAnswerMargin is the time before the end of a stop in which callers of requests that are still running are answered. It
+// allows for the cancellation of their attempts.
+const stopAnswerMargin = cancelTimeout + 250*time.Millisecond
+
+// Stop stops the entry gracefully: it reports not ready, closes the listener, waits for the requests to end, and then
+// closes the links. ctx bounds the wait. Requests that are still running stopAnswerMargin before the deadline of ctx end
+// with a failure that says whether they may have run. When ctx is canceled, they are cut.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
 	e.waitStopDelay(ctx)
-	err := e.server.Shutdown(ctx)
+	err := e.awaitRequests(ctx)
 	e.tomb.Kill(nil)
 	return errors.Join(err, e.tomb.Wait())
 }
 
+// awaitRequests closes the listener and waits until all callers have their answers.
+func (e *Entry) awaitRequests(ctx context.Context) error {
+	waitCtx := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		bounded, cancel := context.WithDeadline(ctx, deadline.Add(-stopAnswerMargin))
+		defer cancel()
+		waitCtx = bounded
+	}
+	if e.server.Shutdown(waitCtx) == nil {
+		return nil
+	}
+	e.log.Info("ending requests that are still running")
+	e.endRequests()
+	return e.server.Shutdown(ctx)
+}
+
 func (e *Entry) waitStopDelay(ctx context.Context) {
 	timer := e.clock.NewTimer(e.stopDelay)
 	defer timer.Stop()
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -74,6 +74,7 @@
 	answer.ReasonDeadline:        "the request cannot end before its deadline",
 	answer.ReasonDraining:        "the backend server takes no new work",
 	answer.ReasonStopping:        "the booking worker that owns the key is being restarted; send the booking again with a new key",
+	answer.ReasonEntryStopping:   "the entry is stopping",
 	answer.ReasonNoWorker:        "no backend server in service can take the request",
 	answer.ReasonNotReady:        "the entry or the worker does not have the configuration for the request yet",
 	answer.ReasonBackendFailed:   "the backend server failed",
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uptrace/bunrouter"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -176,6 +177,9 @@
 	}{"list", list})
 }
 
+// errStopping is the cause of the cancellation of requests that must end because the entry stops.
+var errStopping = errors.New("entry is stopping")
+
 // writeGrace is the time after the deadline of a request during which its response may still be written.
 const writeGrace = time.Second
 
@@ -196,9 +200,13 @@
 	_ = controller.SetWriteDeadline(time.Now().Add(timeout + writeGrace))
 	// The outcome of a cancelled attempt must reach the caller before the deadline.
 	timeout -= min(cancelTimeout+50*time.Millisecond, timeout/10)
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	stoppable, end := context.WithCancelCause(r.Context())
+	forget := context.AfterFunc(e.requestsEnded, func() { end(errStopping) })
+	ctx, cancel := context.WithTimeout(stoppable, timeout)
 	release := func() {
+		forget()
 		cancel()
+		end(nil)
 		_ = controller.SetWriteDeadline(time.Time{})
 	}
 	return ctx, release, e.clock.Now().Add(timeout), nil
--- a/internal/scenario/harness_test.go
+++ b/internal/scenario/harness_test.go
@@ -103,6 +103,8 @@
 		defer cancel()
 		assert.NilError(t, f.Stop(ctx))
 		h.Fleet = nil
+		// The transport of net/http finishes a dial that no request waits for any more, and time stops at the end of the test.
+		time.Sleep(3 * latency)
 	})
 }
 
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -42,6 +42,7 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonDraining        Reason = "draining"
 	ReasonStopping        Reason = "stopping"
+	ReasonEntryStopping   Reason = "entry-stopping"
 	ReasonNoWorker        Reason = "no-worker"
 	ReasonNotReady        Reason = "not-ready"
 	ReasonBackendFailed   Reason = "backend-failed"
