route, gateway: a service whose share of a route has weight 0 gets no requests

Cause: services without usable backend servers were left out of the sum of weights, and a sum of 0 was taken to mean that none is usable; the first service of the route was then chosen. The sum is also 0 when the usable ones have weight 0.

Change: ChooseService draws among the usable services with a positive weight, or among all with one, which the planner refuses. A route without a positive weight refuses at once with 503. A held or repeated request follows changes of the shares.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,6 +113,7 @@
 	}
 	g.mu.Lock()
 	admitted, ok := q.stillAdmitted()
+	ok = ok && q.followShares(admitted.Route)
 	requestQuarantine, quarantined := q.checkRequest(now).(suspect.RequestQuarantined)
 	parts := q.checkParts(now)
 	partQuarantine, isPartQuarantined := parts.(suspect.PartQuarantined)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,7 +92,9 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
-	q.prepare()
+	if !q.prepare() {
+		return
+	}
 	switch q.admitted.Route.Kind {
 	case route.Stream:
 		q.stream()
@@ -212,30 +214,29 @@
 	return true
 }
 
-// prepare chooses the service and fills in the profile for the planner.
-func (q *request) prepare() {
+// prepare chooses the service and fills in the profile for the planner. It reports whether the route has a service; if not, it
+// refuses the request.
+func (q *request) prepare() bool {
 	g := q.gateway
+	digest := suspect.BodyDigest(q.body)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	q.service = q.chooseService()
-	q.profile.Service, q.profile.Route = dispatch.ServiceKey(q.service), dispatch.RouteKey(q.admitted.Route.Name)
-	q.profile.Target = q.admitted.Route.Target
-	q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
-	q.profile.Deadline = q.latestFirstEvent()
-	// The caller of a resumed stream has a part of the answer already.
-	q.profile.Admitted = q.req.Resumes
-	if s := g.currentTable.Table().Service(q.service); s != nil {
-		q.profile.ColdPerSecond, q.idleLimit = s.ColdRate, g.planner.MaxIdleConnections(s.MaxConnections)
-		if p := q.req.Prompt; p != nil && s.Engine != nil {
-			q.profile.Engine, q.profile.Prompt, q.profile.Answer = s.Engine, p.Tokens, p.MaxOutputTokens
-			if p.ExpectedOutputTokens > 0 && p.ExpectedOutputTokens < p.MaxOutputTokens {
-				q.profile.Answer = p.ExpectedOutputTokens
-			}
-		}
+	ok := q.chooseService(q.admitted.Route)
+	if ok {
+		q.profile.Route = dispatch.RouteKey(q.admitted.Route.Name)
+		q.profile.Target = q.admitted.Route.Target
+		q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
+		q.profile.Deadline = q.latestFirstEvent()
+		// The caller of a resumed stream has a part of the answer already.
+		q.profile.Admitted = q.req.Resumes
+		g.planner.RecordArrival(g.clock.Now(), q.profile)
+		q.fingerprint = suspect.NewFingerprint(q.admitted.Workspace, q.req.Method+" "+q.req.Target, digest)
 	}
-	g.planner.RecordArrival(g.clock.Now(), q.profile)
-	q.fingerprint = suspect.NewFingerprint(q.admitted.Workspace, q.req.Method+" "+q.req.Target, suspect.BodyDigest(q.body))
-	g.retries.Request(g.clock.Now(), dispatch.ServiceKey(q.service))
+	g.mu.Unlock()
+	if !ok {
+		g.log.Info("request refused: no service has a share of the route", "request", q.req.ID, "route", q.admitted.Route.Name, "table", q.admitted.Version)
+		q.refuse("no-share", retryAfterDefault)
+	}
+	return ok
 }
 
 // latestFirstEvent returns the time at which the caller gives up when no event has arrived, or the deadline if that is
@@ -249,33 +250,6 @@
 	return q.deadline
 }
 
-// chooseService picks a service at random by the route's weights. Services without backend servers are left out unless
-// no service has any.
-func (q *request) chooseService() string {
-	total := 0
-	shares := q.admitted.Route.Shares
-	for _, s := range shares {
-		total += q.weight(s)
-	}
-	if total == 0 {
-		return shares[0].Service
-	}
-	n := q.gateway.random.IntN(total)
-	for _, s := range shares {
-		if n -= q.weight(s); n < 0 {
-			return s.Service
-		}
-	}
-	return shares[0].Service
-}
-
-func (q *request) weight(s route.Share) int {
-	if len(q.gateway.roster.InService(s.Service)) == 0 {
-		return 0
-	}
-	return max(s.Weight, 0)
-}
-
 func (q *request) elapsed() time.Duration { return q.gateway.clock.Since(q.arrivedAt) }
 
 // reject ends an invalid request with the reason.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,12 +24,6 @@
 	Stream
 )
 
-// Share is the part of a route's requests that goes to one service.
-type Share struct {
-	Service string
-	Weight  int
-}
-
 // Route describes how requests to a host and path prefix are served.
 type Route struct {
 	Name string
