gateway, body: bodies are held within a share of the memory limit

On the users' machines the process is killed, and the requests of all others there end with it.

Cause: responses were read whole, up to 16 MiB each, refusals and errors too, with no bound over all requests in either direction; a caller that read nothing kept its answer forever.

Change: internal/body holds bodies within a budget for each direction, 0.2 and 0.15 of the memory limit of the settings. Responses above 1 MiB and incomplete events above 256 KiB are failures of their server; refusals are discarded while they are read, up to 64 KiB; writes to callers have a deadline. What finds no memory is refused with 503 if it has not run.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/backend"
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/bootclock"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/peering"
@@ -45,6 +46,11 @@
 	// proofMargin is subtracted from the limit for revoked keys. It leaves time for a request to reach the backend
 	// server.
 	proofMargin = 500 * time.Millisecond
+	// requestBodyShare and responseBodyShare are the shares of the memory limit that bodies may take. The rest is for the
+	// process itself, and for memory that the garbage collector has not reclaimed yet. Each direction has its own share, so that
+	// the answers of requests that have run find room.
+	requestBodyShare  = 0.2
+	responseBodyShare = 0.15
 )
 
 // Gateway is one gateway process.
@@ -60,6 +66,8 @@
 	metrics *metrics
 	tracer  trace.Tracer
 	pool    *backend.Pool
+	// requestBodies and responseBodies hold the bodies of all requests, and what is kept of all responses.
+	requestBodies, responseBodies *body.Budget
 
 	callers, readiness net.Listener
 	peerConn           net.PacketConn
@@ -134,6 +142,8 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.requestBodies = body.NewBudget(int64(requestBodyShare * float64(s.MemoryLimit)))
+	g.responseBodies = body.NewBudget(int64(responseBodyShare * float64(s.MemoryLimit)))
 	g.shutdown = newShutdown(g.tomb.Context(context.Background()))
 	if g.pool == nil {
 		g.pool = backend.NewPool(g.clock, nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,8 @@
 	callerKey  = "key-of-cuenca"
 	workspace  = "cuenca"
 	callerHost = "desk.example"
+	// memoryLimit is the MemoryLimit setting of the gateway in bytes.
+	memoryLimit = 284 << 20
 	// coldRate is the limit of requests per second to a cold backend server of the service desk.
 	coldRate = 3
 )
@@ -120,6 +122,7 @@
 		})
 		g, err := gateway.Start(gateway.Settings{
 			Instance: "front-1", Zone: "el-centro", CallerAddress: callerAddress, ReadinessAddress: readyAddress, ShutdownTimeout: 8 * time.Second,
+			MemoryLimit:       memoryLimit,
 			RevocationTimeout: 5 * time.Second, RetryShare: 0.2, RetryReserve: h.retryReserve, RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond,
 		}, platform.Protocol{}, store, append([]gateway.Option{
 			gateway.WithBootClock(h.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(h.dial),
@@ -232,6 +235,11 @@
 }
 
 func (h *harness) call(method, path string, modify func(*gateway.CallerRequest)) result {
+	return h.callWithBody(method, path, nil, modify)
+}
+
+// callWithBody is call with a body; nil means a short one for a POST.
+func (h *harness) callWithBody(method, path string, body []byte, modify func(*gateway.CallerRequest)) result {
 	c := gateway.CallerRequest{
 		ID: fmt.Sprintf("call-%d", h.sequence.Add(1)), Method: method, Target: path, Host: callerHost, Key: callerKey, Timeout: 2 * time.Second,
 	}
@@ -241,8 +249,7 @@
 	if modify != nil {
 		modify(&c)
 	}
-	var body []byte
-	if method == http.MethodPost {
+	if method == http.MethodPost && body == nil {
 		body = []byte("body of " + c.ID)
 	}
 	resp, err := h.client.Do(platform.EncodeCallerRequest(callerAddress, c, body).WithContext(h.test.Context()))
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -135,7 +134,7 @@
 		// On a reused connection, the response may be the repeated one of an earlier order.
 		g.recordNotice(s, g.protocol.DecodeResponseHead(x.Response))
 	}
-	if _, err := io.Copy(io.Discard, x.Response.Body); err != nil {
+	if err := discardBody(x); err != nil {
 		x.Done(false, 0)
 		return err
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,6 +36,8 @@
 	HelperTimeout time.Duration
 	// MaxLease is the longest lease of reserved memory; zero means no limit.
 	MaxLease time.Duration
+	// MemoryLimit is the memory in bytes beyond which the platform kills the process; zero means that there is no limit.
+	MemoryLimit int64
 }
 
 // Update is one update from the store. It is a sealed interface: TableUpdate, ZoneUpdate, ServerUpdate, ServerRemoved
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,16 +8,13 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/backend"
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/dispatch"
 )
 
-const (
-	// maxPlainResponse bounds the response of a plain service in bytes.
-	maxPlainResponse = 16 << 20
-	// retryAfterTargets, times the latency target, is the time after which an idempotent request is sent to another
-	// backend server.
-	retryAfterTargets = 2.5
-)
+// retryAfterTargets, times the latency target, is the time after which an idempotent request is sent to another backend
+// server.
+const retryAfterTargets = 2.5
 
 // plain serves a request whose response is sent to the caller once it is complete.
 func (q *request) plain() { q.runAttempts(q.plainAttempt) }
@@ -38,38 +34,66 @@
 	if err != nil {
 		return q.handleFailure(a, err)
 	}
-	body, result := q.readResponse(a, x, head)
-	if result != nil {
+	buffer := q.gateway.responseBodies.NewBuffer()
+	defer buffer.Release()
+	if result := q.readResponse(a, x, head, buffer); result != nil {
 		return result
 	}
-	return q.handleResponse(a, head, x.Response, body)
+	return q.handleResponse(a, head, x.Response, buffer.Bytes())
 }
 
-// readResponse reads a complete response and records that the request ran. When the response breaks off, is too large
-// or says that the request did not run, readResponse returns the result of the attempt instead of a body.
-func (q *request) readResponse(a *attempt, x *backend.Exchange, head ResponseHead) ([]byte, attemptResult) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxPlainResponse+1))
-	if err == nil && len(body) > maxPlainResponse {
-		err = errors.New("response too large")
+// readResponse reads a complete response into the buffer and records that the request ran. When the response breaks off, is too
+// large or says that the request did not run, readResponse returns the result of the attempt. A body that is not passed on is
+// not held.
+func (q *request) readResponse(a *attempt, x *backend.Exchange, head ResponseHead, buffer *body.Buffer) attemptResult {
+	var err error
+	if head.NotRun || q.delivered {
+		err = discardBody(x)
+	} else {
+		err = buffer.Read(x.Response.Body, x.Response.ContentLength, maxPlainResponse)
 	}
 	if err != nil {
 		failure := x.WrapError(q.ctx, err)
 		x.Done(false, 0)
-		return nil, q.handleFailure(a, failure)
+		return q.handleUnreadable(a, err, failure)
 	}
 	q.endExchange(x, head)
 	if head.NotRun {
 		if !q.identified(x, head) {
 			q.ranOn = append(q.ranOn, a.server)
 		}
-		return nil, q.handleRefusal(a, head)
+		return q.handleRefusal(a, head)
 	}
 	q.ranOn = append(q.ranOn, a.server)
-	return body, nil
+	return nil
+}
+
+// handleUnreadable decides what follows a response whose body could not be read because of err, which failure describes as
+// a failure of the connection.
+func (q *request) handleUnreadable(a *attempt, err error, failure *backend.Error) attemptResult {
+	var limit *body.Error
+	if !errors.As(err, &limit) || q.ctx.Err() != nil {
+		return q.handleFailure(a, failure)
+	}
+	g := q.gateway
+	switch limit.Kind {
+	case body.KindNoMemory:
+		// The memory is taken by other requests, which says nothing about this backend server.
+		g.metrics.count("responses-no-memory")
+		g.log.Info("response dropped: no memory for its body", "request", q.req.ID, "backend", a.server.ID, "bytes", limit.Size, "held-bytes", g.responseBodies.Usage().Used)
+		q.ranOn, q.tried = append(q.ranOn, a.server), append(q.tried, a.server.ID)
+		q.recordGivenUp(a)
+		q.recordOutcome(a, dispatch.Abandoned{})
+		return retryable{"response-memory"}
+	case body.KindTooLarge:
+		g.metrics.count("responses-too-large")
+	}
+	failure.Kind = backend.KindMalformed
+	return q.handleFailure(a, failure)
 }
 
 // handleResponse decides what follows a complete response of a backend server that may have run the request.
-func (q *request) handleResponse(a *attempt, head ResponseHead, resp *http.Response, body []byte) attemptResult {
+func (q *request) handleResponse(a *attempt, head ResponseHead, resp *http.Response, data []byte) attemptResult {
 	success := head.Status >= 200 && head.Status < 300
 	switch {
 	case success && !head.Signed:
@@ -97,11 +121,11 @@
 	}
 	q.gateway.protocol.CopyHeaders(q.response.Header(), resp)
 	q.announceClose()
-	q.response.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	q.response.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	q.response.WriteHeader(head.Status)
 	q.firstByte = q.elapsed()
 	q.delivered = true
-	if _, err := q.response.Write(body); err != nil {
+	if _, err := q.response.Write(data); err != nil {
 		q.outcome = "caller-left"
 	}
 	return completed{}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -75,6 +74,7 @@
 	ctx, release := g.shutdown.requestContext(r.Context())
 	defer release()
 	q := &request{gateway: g, response: w, ctx: ctx, arrivedAt: g.clock.Now()}
+	q.limitWrites(q.arrivedAt.Add(defaultTimeout))
 	req, err := g.protocol.DecodeRequest(r)
 	q.req = req
 	if err != nil {
@@ -84,7 +84,9 @@
 	if !q.admit() {
 		return
 	}
-	if !q.readBody(r) {
+	buffer := g.requestBodies.NewBuffer()
+	defer buffer.Release()
+	if !q.readBody(r, buffer) {
 		return
 	}
 	ctx, span := g.tracer.Start(q.ctx, "request", trace.WithAttributes(attribute.String("request", req.ID)))
@@ -169,49 +171,7 @@
 		timeout = defaultTimeout
 	}
 	q.deadline = q.arrivedAt.Add(timeout)
-}
-
-// readBody reads the whole body before anything is sent to a backend server, so that the request can be sent again. It
-// reports whether it did; a request with too large a body is rejected.
-func (q *request) readBody(r *http.Request) bool {
-	if r.Body == nil || r.Body == http.NoBody {
-		return true
-	}
-	q.gateway.mu.Lock()
-	limit := q.gateway.currentTable.Table().Limits.BodyBytes
-	q.gateway.mu.Unlock()
-	body := io.Reader(r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(q.response, r.Body, limit)
-	}
-	control := http.NewResponseController(q.response)
-	// If the deadline cannot be set, the read lasts as long as the caller keeps the connection open.
-	if err := control.SetReadDeadline(q.deadline); err != nil {
-		q.gateway.metrics.count("deadline-errors")
-	}
-	// A body that does not arrive before the end of a shutdown is not waited for.
-	release := context.AfterFunc(q.ctx, func() { _ = control.SetReadDeadline(longAgo) })
-	defer release()
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		q.reject(BodyTooLarge, err)
-		return false
-	case err != nil && q.gateway.shutdown.hasEndedRequests():
-		q.response.Header().Set("Connection", "close")
-		q.refuse("stopping", retryAfterElsewhere)
-		return false
-	case err != nil:
-		q.gateway.metrics.count("bodies-cut")
-		q.gateway.log.Info("request body not received", "request", q.req.ID, "error", err.Error())
-		panic(http.ErrAbortHandler)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		q.gateway.metrics.count("deadline-errors")
-	}
-	q.body = data
-	return true
+	q.limitWrites(q.deadline)
 }
 
 // prepare chooses the service and fills in the profile for the planner. It reports whether the route has a service; if not, it
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/lengths"
 )
 
@@ -30,6 +31,9 @@
 	QuarantinedRequests map[string]int64 `json:"quarantined-requests-ms,omitempty"`
 	// QuarantinedParts holds by prompt part for how many milliseconds no request with it is sent.
 	QuarantinedParts map[string]int64 `json:"quarantined-parts-ms,omitempty"`
+	// RequestBodies and ResponseBodies are the memory that bodies take.
+	RequestBodies  body.Usage `json:"request-bodies"`
+	ResponseBodies body.Usage `json:"response-bodies"`
 	// Unavailable lists the backend servers that get no requests because they said that they leave or are busy.
 	Unavailable []UnavailableServer `json:"unavailable,omitempty"`
 }
@@ -39,6 +43,7 @@
 	s := Status{
 		Instance: g.Instance, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
+		RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,9 +27,6 @@
 	idempotentCutoff = 3700 * time.Millisecond
 )
 
-// longAgo is a deadline in the past, which ends a read at once whatever clock the gateway uses.
-var longAgo = time.Unix(1, 0)
-
 // shutdownTimes are the times of a planned shutdown.
 type shutdownTimes struct {
 	began time.Time
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/backend"
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/pkg/answer"
@@ -145,6 +146,10 @@
 		return completed{}
 	}
 	x.Done(false, 0)
+	var limit *body.Error
+	if errors.As(err, &limit) {
+		return q.handleUnreadable(a, err, &backend.Error{Op: "read", Kind: backend.KindMalformed, Err: err})
+	}
 	if errors.Is(err, errCallerDisconnected) {
 		q.recordGivenUp(a)
 		q.recordOutcome(a, dispatch.Abandoned{})
@@ -156,8 +161,9 @@
 
 // handleNonStream handles a response that is not a stream of events.
 func (q *request) handleNonStream(a *attempt, x *backend.Exchange, head ResponseHead) attemptResult {
-	body, result := q.readResponse(a, x, head)
-	if result != nil {
+	buffer := q.gateway.responseBodies.NewBuffer()
+	defer buffer.Release()
+	if result := q.readResponse(a, x, head, buffer); result != nil {
 		return result
 	}
 	if q.delivered {
@@ -165,7 +171,7 @@
 		q.recordOutcome(a, dispatch.Errored{})
 		return retryable{"backend-error"}
 	}
-	return q.handleResponse(a, head, x.Response, body)
+	return q.handleResponse(a, head, x.Response, buffer.Bytes())
 }
 
 // errCallerDisconnected means that an event could not be sent to the caller.
@@ -174,6 +180,8 @@
 // relay passes events to the caller until the stream ends. The head of the caller's response is sent with the first
 // complete event, and comes from this backend server.
 func (q *request) relay(a *attempt, x *backend.Exchange, events *answer.EventSplitter, wait time.Duration) error {
+	held := q.gateway.responseBodies.Reserve()
+	defer held.Release()
 	flusher := http.NewResponseController(q.response)
 	buf := make([]byte, readBuffer)
 	// Bytes that complete no event do not extend the wait for the next one.
@@ -187,6 +195,9 @@
 			if err := events.Write(buf[:n]); err != nil {
 				return &backend.Error{Op: "read", Kind: backend.KindMalformed, Err: err}
 			}
+			if err := holdEvent(held, events); err != nil {
+				return err
+			}
 			sent, werr := q.deliver(a, x, events)
 			if werr != nil {
 				return errCallerDisconnected
@@ -218,6 +229,16 @@
 	}
 }
 
+// holdEvent reserves the memory that an incomplete event takes beyond the buffer that each stream has. It fails if the event is
+// too large or if there is no memory.
+func holdEvent(held *body.Reservation, events *answer.EventSplitter) error {
+	size := int64(events.Buffered())
+	if size > maxEvent {
+		return &body.Error{Op: "hold event", Kind: body.KindTooLarge, Size: size, Limit: maxEvent}
+	}
+	return held.Resize(max(size-readBuffer, 0))
+}
+
 // deliver sends the complete events received so far, and reports whether there was one.
 func (q *request) deliver(a *attempt, x *backend.Exchange, events *answer.EventSplitter) (bool, error) {
 	sent := false
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -193,8 +193,8 @@
 	var peers []netip.AddrPort
 	var settings []platform.Settings
 	for i := range h.Gateways {
-		s := platform.Settings{Store: storeProxyAddress, MemoryLimit: 256 << 20, Settings: gateway.Settings{
-			Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
+		s := platform.Settings{Store: storeProxyAddress, Settings: gateway.Settings{
+			MemoryLimit: 256 << 20, Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
 			ShutdownTimeout: 8 * time.Second, RevocationTimeout: revocationDelay, RetryShare: 0.2, RetryReserve: 100,
 			RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond, MaxLease: 20 * time.Second,
 		}}
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -148,6 +148,8 @@
 		return
 	case Leaves:
 		head.Leaving = true
+	case Endless:
+		head.NotRun = fault.Refusal
 	case Unsigned:
 		head.Signed = false
 	case WrongID:
@@ -232,6 +234,8 @@
 	switch fault := fault.(type) {
 	case CutsHead, Unframed:
 		return b.answerRaw(w, r, request, fault)
+	case Endless:
+		return writeEndless(w, fault)
 	case NeverAnswers:
 		<-r.Context().Done()
 		return false
@@ -343,6 +347,41 @@
 	return err == nil
 }
 
+// endlessPart is the size in bytes of each write of a body without end.
+const endlessPart = 16 << 10
+
+// writeEndless writes a response until the connection is closed.
+func writeEndless(w http.ResponseWriter, fault Endless) bool {
+	out := io.Writer(w)
+	if fault.Unframed {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return false
+		}
+		defer func() { _ = conn.Close() }()
+		head := &http.Response{StatusCode: fault.Status, ProtoMajor: 1, ProtoMinor: 1, Header: w.Header(), ContentLength: -1, Close: true, Body: http.NoBody}
+		var text strings.Builder
+		if head.Write(&text) != nil {
+			return false
+		}
+		if _, err := io.WriteString(conn, text.String()); err != nil {
+			return false
+		}
+		out = conn
+	} else {
+		w.WriteHeader(fault.Status)
+	}
+	part := []byte(strings.Repeat("x", endlessPart))
+	for {
+		if _, err := out.Write(part); err != nil {
+			return false
+		}
+	}
+}
+
+// maxDripped is the length of a dripping body in bytes.
+const maxDripped = 10_000
+
 // drip writes a body of maxDripped bytes, one per step.
 func (b *Backend) drip(w http.ResponseWriter, r *http.Request) bool {
 	w.Header().Set("Content-Length", fmt.Sprint(maxDripped))
@@ -360,9 +399,6 @@
 	return true
 }
 
-// maxDripped is the length of a dripping body in bytes.
-const maxDripped = 10_000
-
 // writeNoEvents writes comments in steps until the connection is closed.
 func (b *Backend) writeNoEvents(w http.ResponseWriter, r *http.Request) bool {
 	for b.waitStep(r) {
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -4,7 +4,7 @@
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
 // Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents, EndsOnPart,
-// EndsOnPath, CutsHead, Unframed, Unsigned and WrongID are its only implementations.
+// EndsOnPath, CutsHead, Unframed, Endless, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
 type ServerFault interface{ serverFault() }
@@ -68,6 +68,15 @@
 // in the middle of its last event.
 type Unframed struct{ Cut bool }
 
+// Endless means that requests run and that the body of a response goes on until the connection is closed. It completes no event.
+type Endless struct {
+	// Status is the status of the response. A refusal states that the request did not run.
+	Status  int
+	Refusal bool
+	// Unframed means that the body has no chunks.
+	Unframed bool
+}
+
 // Unsigned means that responses have no signature.
 type Unsigned struct{}
 
@@ -88,6 +97,7 @@
 func (NoEvents) serverFault()       {}
 func (CutsHead) serverFault()       {}
 func (Unframed) serverFault()       {}
+func (Endless) serverFault()        {}
 func (EndsOnPart) serverFault()     {}
 func (EndsOnPath) serverFault()     {}
 func (Unsigned) serverFault()       {}
--- a/pkg/answer/events.go
+++ b/pkg/answer/events.go
@@ -35,8 +35,11 @@
 // Partial reports whether bytes of an incomplete event are buffered.
 func (s *EventSplitter) Partial() bool { return len(s.pending) > 0 }
 
+// Buffered returns how many bytes of memory the buffer takes.
+func (s *EventSplitter) Buffered() int { return cap(s.pending) }
+
 // DropPartial drops the incomplete event before the stream continues from another source.
-func (s *EventSplitter) DropPartial() { s.pending = s.pending[:0] }
+func (s *EventSplitter) DropPartial() { s.pending = nil }
 
 // Write appends bytes of the stream to the buffer. Call Next until it returns nil before the next call. Write returns
 // an Error of KindEventSize for an event that is too large.
