entry: bodies of requests and answers are held within a share of the memory limit

A request without memory for its body is refused as not run; one whose answer cannot be held ends with broken-answer. Before, a caller whose answer was too large to hold was told that it had left.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -22,6 +23,7 @@
 	var seeds addresses
 	policy := "affinity"
 	stopDelay := 2 * time.Second
+	memoryMiB := 0
 	cmd := &cobra.Command{
 		Use:   "entry",
 		Short: "Run an entry: the process that accepts requests from callers",
@@ -33,8 +35,13 @@
 	s.textVar(&seeds, "seeds", "addresses separated by commas", "sidecars from which the declarations are fetched while the platform does not answer")
 	s.enumVar(&policy, []string{"affinity", "random", "round-robin", "least-requests", "single-queue"}, "policy", "policy that selects a worker; all except affinity are baselines for measurements")
 	s.durationVar(&stopDelay, "stop-delay", "time between reporting not ready and closing the listener during shutdown")
+	s.intVar(&memoryMiB, "memory-limit", "memory in MiB that the process may use; requests for whose bodies there is no memory are refused; no limit when zero")
 	s.require("listen")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		memoryLimit := int64(memoryMiB) << 20
+		if memoryLimit > 0 {
+			debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryLimit)))
+		}
 		config, err := p.peerTLS()
 		if err != nil {
 			return err
@@ -53,6 +60,7 @@
 			entry.WithLogger(instr.logs.Logger("entry")), entry.WithMetrics(instr.metrics.Slice("entry")),
 			entry.WithTracer(instr.tracer), entry.WithLinkOptions(p.linkOptions(config)...),
 			entry.WithSeeds(seeds), entry.WithPolicy(placementPolicies[policy]), entry.WithStopDelay(stopDelay),
+			entry.WithMemoryLimit(memoryLimit),
 		)
 		if err != nil {
 			return err
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -174,7 +174,8 @@
 		return nil
 	}
 	if err := out.deliver(fresh); err != nil {
-		return a.cancel(answer.ReasonCancelled)
+		a.peer.entry.countNotHeld(err)
+		return a.cancel(deliveryReason(err))
 	}
 	return nil
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/pkg/answer"
 )
 
@@ -20,6 +21,8 @@
 	timeoutHeader = "Berylward-Timeout"
 	// maxBody is the maximum size of a request body in bytes. JSON escapes can double the size of a prompt.
 	maxBody = 16 << 20
+	// bodyRetryDelay is the retry delay for a request for whose body there is no memory.
+	bodyRetryDelay = time.Second
 	// maxPrompt is the maximum size of a prompt in bytes, so that an offer fits into one frame of a link.
 	maxPrompt = 7 << 20
 	// maxMaxTokens is the largest answer that a caller may ask for. Sums with the prompt's tokens cannot overflow.
@@ -52,12 +55,11 @@
 }
 
 // readJSON decodes the body of a completion into target. If a field has the wrong type, the failure names the field.
-func readJSON(w http.ResponseWriter, r *http.Request, target *completion) *failure {
-	text, rejection := readBody(w, r)
-	if rejection != nil {
+func readJSON(w http.ResponseWriter, r *http.Request, buffer *body.Buffer, target *completion) *failure {
+	if rejection := readBody(w, r, buffer); rejection != nil {
 		return rejection
 	}
-	if err := json.Unmarshal(text, target); err != nil {
+	if err := json.Unmarshal(buffer.Bytes(), target); err != nil {
 		var typeError *json.UnmarshalTypeError
 		if errors.As(err, &typeError) {
 			field := jsonField(typeError.Field)
@@ -98,22 +100,30 @@
 	return "object"
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
+// readBody reads the body of a request into the buffer. If it is too large or there is no memory for it, the rest is not read.
+func readBody(w http.ResponseWriter, r *http.Request, buffer *body.Buffer) *failure {
 	// The deadline applies to the body only. The connection is read while the answer is streamed, to notice when the
 	// caller disconnects.
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newRejection(answer.ReasonTooLarge, "", "the body is larger than %d bytes", tooLarge.Limit)
+	err := buffer.Read(r.Body, r.ContentLength, maxBody)
+	var limit *body.Error
+	if errors.As(err, &limit) {
+		w.Header().Set("Connection", "close")
+		if limit.Kind == body.KindTooLarge {
+			return newRejection(answer.ReasonTooLarge, "", "the body is larger than %d bytes", limit.Limit)
+		}
+		return &failure{
+			reason: answer.ReasonOverloaded, message: "the entry has no memory for the body; the request was not run",
+			outcome: answer.NotRun{Reason: answer.ReasonOverloaded}, retryAfter: bodyRetryDelay,
+		}
 	}
 	if err != nil {
-		return nil, newRejection(answer.ReasonBadRequest, "", "the body could not be read: %v", err)
+		return newRejection(answer.ReasonBadRequest, "", "the body could not be read: %v", err)
 	}
 	// After an error the deadline stays, because net/http reads the rest of the body before it reuses the connection.
 	_ = controller.SetReadDeadline(time.Time{})
-	return text, nil
+	return nil
 }
 
 // text returns the text of the prompt for the engine.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/generation"
 	"berylward.example/berylward/internal/link"
@@ -70,7 +71,12 @@
 	stopDelay        time.Duration
 	dialer           link.Dialer
 	strictInvariants bool
+	memoryLimit      int64
 
+	// bodies holds the bodies of all requests.
+	bodies *body.Budget
+	// answers holds what is kept of the answers to all requests.
+	answers  *body.Budget
 	config   *site.CurrentGeneration
 	exchange *generation.Exchange
 	platform *platformclient.Client
@@ -134,6 +140,17 @@
 // the load balancer notices first.
 func WithStopDelay(d time.Duration) Option { return func(e *Entry) { e.stopDelay = d } }
 
+// bodyShare is the share of the memory limit that bodies of requests may take. What is decoded from a body takes about as much
+// again, and so does the message to a sidecar.
+const bodyShare = 0.15
+
+// answerShare is the share of the memory limit that the answers of running requests may take.
+const answerShare = 0.1
+
+// WithMemoryLimit sets the memory in bytes that the process may use. Requests for whose bodies there is no memory are refused.
+// By default there is no limit.
+func WithMemoryLimit(bytes int64) Option { return func(e *Entry) { e.memoryLimit = bytes } }
+
 // Start starts an entry. It returns at once; Ready reports when callers can be served.
 func Start(o Options, opts ...Option) (*Entry, error) {
 	if o.Instance == "" || o.Zone == "" || o.Listener == nil {
@@ -147,6 +164,8 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.bodies = body.NewBudget(int64(bodyShare * float64(e.memoryLimit)))
+	e.answers = body.NewBudget(int64(answerShare * float64(e.memoryLimit)))
 	seed := xxhash.Sum64(e.incarnation[:])
 	self := fleet.Instance{Name: o.Instance, Zone: o.Zone, Region: o.Region, Role: fleet.RoleEntry}
 	e.view = fleet.NewView(self, rand.NewPCG(seed, 1), fleet.WithPolicy(e.policy))
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -6,18 +6,20 @@
 	"strings"
 	"testing"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/pkg/site"
 )
 
 // Guards against a request body that makes the handler panic, or that passes the checks with a prompt or a token
 // count out of range.
 func FuzzCompletion(f *testing.F) {
-	for _, body := range []string{
+	budget := body.NewBudget(0)
+	for _, seed := range []string{
 		`{"model":"m","prompt":"a","max_tokens":1}`, `{"model":"m:t","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`,
 		`{"model":"m","prompt":["a"],"n":2}`, `{"max_completion_tokens":-1}`, `{"model":"m","prompt":"a","max_tokens":9223372036854775807}`, `[`, `null`,
 	} {
-		f.Add(body, true)
-		f.Add(body, false)
+		f.Add(seed, true)
+		f.Add(seed, false)
 	}
 	snapshot := &site.Snapshot{Declarations: &site.Declarations{Models: map[string]site.Model{
 		"m": {Name: "m", Adapters: []string{"t"}, BytesPerToken: 4, MaxPromptTokens: 100},
@@ -25,11 +27,11 @@
 	c := caller{workspace: site.Workspace{Name: "w", Models: []string{"m"}}, snapshot: snapshot}
 	f.Fuzz(func(t *testing.T, text string, chat bool) {
 		r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(text))
-		var body completion
-		if readJSON(httptest.NewRecorder(), r, &body) != nil {
+		var target completion
+		if readJSON(httptest.NewRecorder(), r, budget.NewBuffer(), &target) != nil {
 			return
 		}
-		work, rejection := newPromptWork(&body, chat, c)
+		work, rejection := newPromptWork(&target, chat, c)
 		if rejection != nil {
 			if len(rejection.body()) == 0 {
 				t.Fatal("rejection without a body")
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -349,7 +349,12 @@
 		return
 	}
 	m.receivedBytes.Store(g.assembler.Length())
-	if len(fresh) > 0 && g.out.deliver(fresh) != nil {
+	if len(fresh) == 0 {
+		return
+	}
+	if err := g.out.deliver(fresh); err != nil {
+		g.entry.countNotHeld(err)
+		g.knownReason = deliveryReason(err)
 		g.apply(ctx, memory.Cancelled{})
 	}
 }
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -214,8 +214,10 @@
 
 func (e *Entry) serveCompletion(chat bool) callerHandler {
 	return func(w http.ResponseWriter, r bunrouter.Request, c caller) {
+		buffer := e.bodies.NewBuffer()
+		defer buffer.Release()
 		var body completion
-		if rejection := readJSON(w, r.Request, &body); rejection != nil {
+		if rejection := readJSON(w, r.Request, buffer, &body); rejection != nil {
 			rejection.write(w)
 			return
 		}
@@ -235,7 +237,9 @@
 			response: w, chat: chat, stream: body.Stream, includeUsage: body.StreamOptions.IncludeUsage,
 			id: "cmpl-" + req.id(), model: body.Model, created: e.clock.Now(),
 		}
-		outcome, usage := e.runRequest(ctx, req, &promptSink{request: req, work: work, out: out})
+		held := e.answers.Reserve()
+		defer held.Release()
+		outcome, usage := e.runRequest(ctx, req, &promptSink{request: req, work: work, out: out, held: held})
 		if f := failureOf(outcome); f != nil {
 			out.fail(f)
 			return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/internal/suspect"
@@ -139,11 +140,20 @@
 	request *request
 	work    *promptWork
 	out     *completionWriter
+	// held is the memory of the answer.
+	held *body.Reservation
 }
 
 func (s *promptSink) setHead(int, map[string][]string) error { return nil }
 
 func (s *promptSink) deliver(data []byte) error {
+	copies := 1
+	if !s.out.stream {
+		copies = 2 // one for a later attempt, one for the response
+	}
+	if err := holdAnswer(s.held, copies*(len(s.work.delivered)+len(data))); err != nil {
+		return err
+	}
 	s.work.delivered = append(s.work.delivered, data...)
 	return s.out.deliver(data)
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -7,6 +7,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/pkg/answer"
 	"berylward.example/berylward/pkg/site"
 )
@@ -33,7 +34,9 @@
 		rejection.write(w)
 		return
 	}
-	work, rejection := e.newCallWork(w, r, service)
+	buffer := e.bodies.NewBuffer()
+	defer buffer.Release()
+	work, rejection := e.newCallWork(w, r, service, buffer)
 	if rejection != nil {
 		rejection.write(w)
 		return
@@ -44,7 +47,9 @@
 		return
 	}
 	defer cancel()
-	out := &serviceWriter{}
+	held := e.answers.Reserve()
+	defer held.Release()
+	out := &serviceWriter{held: held}
 	outcome, _ := e.runRequest(ctx, e.newRequest(c, work, deadline), out)
 	if f := failureOf(outcome); f != nil {
 		f.write(w)
@@ -62,17 +67,17 @@
 	return service, nil
 }
 
-func (e *Entry) newCallWork(w http.ResponseWriter, r bunrouter.Request, service site.Service) (*callWork, *failure) {
-	body, rejection := readBody(w, r.Request)
-	if rejection != nil {
+func (e *Entry) newCallWork(w http.ResponseWriter, r bunrouter.Request, service site.Service, buffer *body.Buffer) (*callWork, *failure) {
+	if rejection := readBody(w, r.Request, buffer); rejection != nil {
 		return nil, rejection
 	}
-	if len(body) > maxPrompt {
-		return nil, newRejection(answer.ReasonTooLarge, "", "the body has %d bytes; at most %d are accepted", len(body), maxPrompt)
+	data := buffer.Bytes()
+	if len(data) > maxPrompt {
+		return nil, newRejection(answer.ReasonTooLarge, "", "the body has %d bytes; at most %d are accepted", len(data), maxPrompt)
 	}
 	path := "/" + strings.TrimPrefix(r.Param("path"), "/")
 	work := &callWork{
-		service: service.Name, method: r.Method, path: path, body: body, header: http.Header{},
+		service: service.Name, method: r.Method, path: path, body: data, header: http.Header{},
 		idempotent: service.Idempotent(r.Method, path),
 	}
 	if r.URL.RawQuery != "" {
@@ -127,6 +132,8 @@
 	status int
 	header map[string][]string
 	body   []byte
+	// held is the memory of the body.
+	held *body.Reservation
 }
 
 // setHead sets the status and headers and discards the body of an earlier attempt.
@@ -139,6 +146,9 @@
 	if len(s.body)+len(data) > maxServiceAnswer {
 		return &Error{Op: "deliver", Kind: KindRequest, Err: http.ErrContentLength}
 	}
+	if err := holdAnswer(s.held, len(s.body)+len(data)); err != nil {
+		return err
+	}
 	s.body = append(s.body, data...)
 	return nil
 }
