soak: stand-ins send without end, and the memory of gateways is checked

No test measured memory, and stand-ins could not send without end, so the fault of endless bodies could not show.

Change: servers of a soak send bodies without end, as successes, errors and refusals; at the end the largest resident memory of each gateway is compared with its limit (--memory).

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -16,7 +16,7 @@
 	length, first, seeds := 20*time.Second, 1, 1
 	gateways, engines, serviceBackends, callers := 3, 6, 3, 24
 	folder := ""
-	timed := true
+	timed, memory := true, true
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run gateways as processes on this machine under random faults and check their guarantees",
@@ -31,6 +31,7 @@
 	s.intVar(&serviceBackends, "desks", "number of stand-in backend servers of a plain service")
 	s.intVar(&callers, "callers", "number of callers")
 	s.stringVar(&folder, "folder", "a folder", "where the logs of failed seeds are kept; a temporary folder when empty")
+	s.boolVar(&memory, "memory", "also check that no gateway exceeds its memory limit")
 	s.boolVar(&timed, "timed", "also check guarantees that depend on how soon this machine runs the processes")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		program, err := os.Executable()
@@ -50,7 +51,7 @@
 			}
 			report, err := soak.Run(cmd.Context(), soak.Options{
 				Program: program, Folder: logs, Seed: uint64(seed), Duration: length, Gateways: gateways, EngineBackends: engines,
-				ServiceBackends: serviceBackends, Callers: callers, CheckTiming: timed,
+				ServiceBackends: serviceBackends, Callers: callers, CheckTiming: timed, CheckMemory: memory,
 			})
 			if err != nil {
 				return err
@@ -59,8 +60,8 @@
 			for _, n := range report.Faults {
 				injected += n
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d faults, %d requests (%d answered, %d refused, %d failed), %d violations\n",
-				seed, injected, report.Requests, report.Answered, report.Refused, report.Failed, len(report.Violations))
+			fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d faults, %d requests (%d answered, %d refused, %d failed), %d MiB at most, %d violations\n",
+				seed, injected, report.Requests, report.Answered, report.Refused, report.Failed, report.PeakMemory>>20, len(report.Violations))
 			for _, v := range report.Violations {
 				fmt.Fprintf(cmd.OutOrStdout(), "  %s\n", v)
 			}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -135,6 +135,18 @@
 	return slices.ContainsFunc(h.unplannedFaults, func(f interval) bool { return f.from.Before(request.endedAt) && f.to.After(request.sentAt) })
 }
 
+// checkMemory stops the gateways and checks the memory that they have taken.
+func (h *harness) checkMemory(r *Report) {
+	for _, process := range h.gateways {
+		process.stop()
+		used := process.memory()
+		r.PeakMemory = max(r.PeakMemory, used)
+		if h.CheckMemory && used > memoryLimit {
+			r.addViolation("%s took %d MiB of memory, its limit is %d MiB", process.name, used>>20, memoryLimit>>20)
+		}
+	}
+}
+
 // checkDrains checks that no request starts at a backend server between drainDelay and maxFaultLength after the start
 // of a drain. It skips drains that an unplanned fault overlaps.
 func (h *harness) checkDrains(r *Report) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -63,7 +64,9 @@
 		b.SetFault([]direct.ServerFault{
 			direct.NeverAnswers{}, direct.Refuses{}, direct.Errors{}, direct.ClosesEarly{After: h.random.IntN(4)}, direct.Unsigned{}, direct.WrongID{},
 			direct.RepeatsRefusal{}, direct.RefusesFor{For: time.Duration(h.random.Int64N(int64(maxFaultLength)))},
-		}[h.random.IntN(8)])
+			direct.Endless{Status: http.StatusOK, Unframed: h.random.IntN(2) == 0}, direct.Endless{Status: http.StatusInternalServerError},
+			direct.Endless{Status: http.StatusServiceUnavailable, Refusal: true},
+		}[h.random.IntN(11)])
 		return func() { b.SetFault(direct.NoFault{}) }
 	}},
 	{"backend leaves and restarts", true, func(h *harness) func() {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,7 +28,9 @@
 	mu       sync.Mutex
 	command  *exec.Cmd
 	stopping bool
-	tasks    sync.WaitGroup
+	// peakMemory is the largest resident memory in bytes of a process of this gateway, as of its last signal.
+	peakMemory int64
+	tasks      sync.WaitGroup
 }
 
 // newGatewayProcess writes the settings file of a gateway and opens its log file, both in the given folder.
@@ -79,14 +82,38 @@
 func (p *gatewayProcess) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordMemory()
 	// The process may have exited meanwhile. Then there is nothing to signal.
 	_ = p.command.Process.Signal(s)
 }
 
+// memory returns the largest resident memory in bytes of the processes of this gateway that have been signaled.
+func (p *gatewayProcess) memory() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peakMemory
+}
+
+// recordMemory reads the largest resident memory of the process. The usage that the system reports at the end of a process
+// also counts its parent, so it cannot be used. The caller holds the lock.
+func (p *gatewayProcess) recordMemory() {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return // The process has exited.
+	}
+	for line := range strings.Lines(string(status)) {
+		var kib int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kib); n == 1 {
+			p.peakMemory = max(p.peakMemory, kib<<10)
+		}
+	}
+}
+
 // stop kills the process, waits for its end and closes the log.
 func (p *gatewayProcess) stop() {
 	p.mu.Lock()
 	p.stopping = true
+	p.recordMemory()
 	_ = p.command.Process.Signal(syscall.SIGCONT)
 	_ = p.command.Process.Kill()
 	p.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -67,6 +67,8 @@
 	Callers int
 	// CheckTiming adds the checks that depend on how quickly this machine schedules the processes.
 	CheckTiming bool
+	// CheckMemory adds the check that no gateway exceeds its memory limit. It does not hold for a build with the race detector.
+	CheckMemory bool
 }
 
 // Report is the result of a run.
@@ -78,6 +80,8 @@
 	Failed     int
 	Faults     map[string]int
 	Violations []string
+	// PeakMemory is the largest resident memory of a gateway in bytes.
+	PeakMemory int64
 }
 
 const (
@@ -86,8 +90,10 @@
 	// drainDelay is how long a backend server may still receive requests after it started to drain.
 	drainDelay     = 2 * time.Second
 	maxClockOffset = 10 * time.Second
-	callerHost     = "desk.example"
-	workspace      = "cuenca"
+	// memoryLimit is the memory in bytes that a gateway is told it may use.
+	memoryLimit = 256 << 20
+	callerHost  = "desk.example"
+	workspace   = "cuenca"
 )
 
 // harness holds the state of one run: the gateway processes, the stand-ins and proxies around them, and the
@@ -170,7 +176,9 @@
 	}
 	h.injectFaults(runCtx)
 	callers.Wait()
-	return h.verify(), nil
+	report := h.verify()
+	h.checkMemory(&report)
+	return report, nil
 }
 
 func (h *harness) setUp() error {
@@ -194,7 +202,7 @@
 	var settings []platform.Settings
 	for i := range h.Gateways {
 		s := platform.Settings{Store: storeProxyAddress, Settings: gateway.Settings{
-			MemoryLimit: 256 << 20, Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
+			MemoryLimit: memoryLimit, Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
 			ShutdownTimeout: 8 * time.Second, RevocationTimeout: revocationDelay, RetryShare: 0.2, RetryReserve: 100,
 			RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond, MaxLease: 20 * time.Second,
 		}}
