gateway: a caller that closes its side first gets a closed connection, not an empty 200

A stream that had begun ended as if it were complete.

Cause: a request whose caller has left returned from its handler without writing; net/http completes such a response itself. Change: such a request says that it is cut, and the handler aborts the connection in one place.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -259,8 +259,7 @@
 		q.giveUp("stopping", retryAfterElsewhere)
 		return
 	}
-	q.outcome = "caller-left"
-	q.gateway.metrics.count("callers-left")
+	q.leave()
 }
 
 // mayStillSend reports whether the backend servers of an attempt still take requests. Time passes between the placement
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -126,7 +126,7 @@
 	q.firstByte = q.elapsed()
 	q.delivered = true
 	if _, err := q.response.Write(data); err != nil {
-		q.outcome = "caller-left"
+		q.leave()
 	}
 	return completed{}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,8 +60,11 @@
 	heldTime      time.Duration
 	holdID        dispatch.HoldID // zero unless the request is in the queue of heavy prompts
 	delivered     bool            // bytes of the response have been sent to the caller
-	outcome       string
-	firstByte     time.Duration
+	// cut is set if the connection to the caller must be closed at the end of the request, because there is no answer or only
+	// a part of one. net/http would otherwise end the response as if it were complete.
+	cut       bool
+	outcome   string
+	firstByte time.Duration
 	// longestGap is the longest pause between two events sent to the caller; lastEvent is when the last one was sent.
 	longestGap time.Duration
 	lastEvent  time.Time
@@ -104,6 +107,9 @@
 		q.plain()
 	}
 	q.finish()
+	if q.cut {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // admit reports whether the request may be served. If not, it sends the failure to the caller.
@@ -228,14 +234,20 @@
 	q.gateway.protocol.WriteFailure(q.response, &q.req, NotRun{RetryAfter: retryAfter})
 }
 
-// fail ends a request that may have run. When the caller already has a part of the response, fail closes the connection
-// to the caller, because a truncated response must not look complete.
+// leave ends a request whose caller has closed its connection, at least its own side of it.
+func (q *request) leave() {
+	q.outcome, q.cut = "caller-left", true
+	q.gateway.metrics.count("callers-left")
+}
+
+// fail ends a request that may have run. When the caller already has a part of the response, its connection is closed,
+// because a truncated response must not look complete.
 func (q *request) fail(reason string) {
 	q.outcome = "failed-" + reason
 	q.gateway.metrics.count("failed-" + reason)
 	if q.delivered {
-		q.finish()
-		panic(http.ErrAbortHandler)
+		q.cut = true
+		return
 	}
 	q.announceClose()
 	q.gateway.protocol.WriteFailure(q.response, &q.req, MayHaveRun{Expired: q.deadline.Sub(q.gateway.clock.Now()) < minRemaining})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -153,7 +153,7 @@
 	if errors.Is(err, errCallerDisconnected) {
 		q.recordGivenUp(a)
 		q.recordOutcome(a, dispatch.Abandoned{})
-		q.outcome = "caller-left"
+		q.leave()
 		return completed{}
 	}
 	return q.handleFailure(a, err)
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -7,6 +7,9 @@
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // MemoryListener is an in-memory listener for tests on virtual time. Its connections block in a way that
@@ -82,6 +85,43 @@
 	return nil, &net.OpError{Op: "dial", Net: network, Addr: m.Addr(), Err: err}
 }
 
+// HalfConn is a client's connection of which each direction can be closed by itself, as with TCP.
+type HalfConn struct {
+	net.Conn // carries what the server sends
+	toServer net.Conn
+}
+
+// Write implements net.Conn.
+func (c *HalfConn) Write(p []byte) (int, error) { return c.toServer.Write(p) }
+
+// CloseWrite closes the direction to the server, which then reads the end of the connection.
+func (c *HalfConn) CloseWrite() error { return c.toServer.Close() }
+
+// serverHalfConn is the server's side of a HalfConn.
+type serverHalfConn struct {
+	net.Conn   // carries what the server sends
+	fromClient net.Conn
+}
+
+func (c serverHalfConn) Read(p []byte) (int, error)         { return c.fromClient.Read(p) }
+func (c serverHalfConn) SetReadDeadline(t time.Time) error  { return c.fromClient.SetReadDeadline(t) }
+func (c serverHalfConn) SetWriteDeadline(t time.Time) error { return c.Conn.SetWriteDeadline(t) }
+
+func (c serverHalfConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+func (c serverHalfConn) Close() error { return errors.Join(c.fromClient.Close(), c.Conn.Close()) }
+
+// DialHalf connects to the listener with a connection of which each direction can be closed by itself. The listener must be
+// open.
+func (m *MemoryListener) DialHalf() *HalfConn {
+	clientReads, serverWrites := net.Pipe()
+	clientWrites, serverReads := net.Pipe()
+	m.conns <- serverHalfConn{serverWrites, serverReads}
+	return &HalfConn{Conn: clientReads, toServer: clientWrites}
+}
+
 // Client returns an HTTP client that sends all requests to the listener.
 func (m *MemoryListener) Client() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: m.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true}}
