--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -181,6 +181,7 @@
 		case ServerRemoved:
 			changes = append(changes, g.roster.Remove(now, u.ID))
 		case InvalidItem:
+			g.metrics.count("store-items-invalid")
 			logCalls = append(logCalls, func() { g.log.Error(u.Err, "invalid store item ignored", "key", u.Key) })
 			readable = readable && !u.IsTable
 		}
