roster: entries that the store carries out late do not replace later ones

Cause: entries were ordered by the store's revision; the server's own count (seq) was checked for presence only. Change: an entry with a lower seq than the last one of the same start is ignored, logged and counted. What is known of a start that has left is kept for ten minutes.

--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -226,6 +226,9 @@
 		}
 	case roster.Missing:
 		g.log.Info("backend server entry missing after store outage", "backend", c.Server.ID)
+	case roster.Outdated:
+		g.metrics.count("server-entries-outdated")
+		g.log.Info("outdated entry of a backend server ignored", "backend", c.Server.ID, "sequence", c.Server.Sequence, "revision", c.Server.Revision)
 	case roster.Left:
 		g.log.Info("backend server left", "backend", c.Server.ID, "revision", c.Server.Revision)
 		g.recordLeft(c.Server)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,8 +17,8 @@
 // shorter because it starts when the gateway learns of the recovery.
 const missingGrace = 1700 * time.Millisecond
 
-// leavingMemory is how long the announcement of a server that leaves is kept after its entry was removed. Entries that
-// expire during an outage of the store return afterwards, also for servers that are about to stop.
+// leavingMemory is how long the announcement of a server that leaves, and the number of its last entry, are kept after its entry
+// was removed. Entries that expire during an outage of the store return afterwards, also for servers that are about to stop.
 const leavingMemory = 10 * time.Minute
 
 // Server is one incarnation of a backend server. It is immutable.
@@ -37,6 +37,8 @@
 	// StartedAt is when this incarnation started, by the server's clock. It distinguishes incarnations with the same
 	// ID.
 	StartedAt time.Time
+	// Sequence grows with the entries that this incarnation has written.
+	Sequence int64
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
@@ -49,7 +51,7 @@
 
 func (s *Server) incarnation() incarnation { return incarnation{s.ID, s.StartedAt.UnixMilli()} }
 
-// Change says what an update changed. It is a sealed interface: Joined, Updated, Left, Missing, AnnouncedLeaving,
+// Change says what an update changed. It is a sealed interface: Joined, Updated, Left, Missing, Outdated, AnnouncedLeaving,
 // ZoneTakenOut, ZoneReturned and None are its only implementations.
 //
 //sumtype:decl
@@ -75,6 +77,9 @@
 	Until  time.Time
 }
 
+// Outdated means that an entry was ignored: the server has written a later one, or has been replaced since.
+type Outdated struct{ Server *Server }
+
 // AnnouncedLeaving means that a backend server has announced in a response that it is about to stop.
 type AnnouncedLeaving struct{ Server *Server }
 
@@ -91,6 +96,7 @@
 func (Updated) change()          {}
 func (Left) change()             {}
 func (Missing) change()          {}
+func (Outdated) change()         {}
 func (AnnouncedLeaving) change() {}
 func (ZoneTakenOut) change()     {}
 func (ZoneReturned) change()     {}
@@ -106,15 +112,28 @@
 	recoveryUntil time.Time
 	// leaving holds the incarnations that have announced that they are about to stop, and when each last had an entry.
 	// They get no new requests, whatever their entry says.
-	leaving   map[incarnation]time.Time
+	leaving map[incarnation]time.Time
+	// former holds the incarnations that have left lately. The store may carry out their writes late.
+	former    map[incarnation]formerServer
 	zonesOut  map[string]bool
 	byService map[string][]*Server
 }
 
+// formerServer is what is known of an incarnation that has left.
+type formerServer struct {
+	sequence int64
+	// replaced is set if another incarnation has an entry under the same ID. The entry of one that has ended may be the late one, so
+	// an incarnation that goes on to write returns.
+	replaced bool
+	// since is the time of the first Expire after it left, zero before.
+	since time.Time
+}
+
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
 		servers: map[string]*Server{}, missingUntil: map[string]time.Time{}, leaving: map[incarnation]time.Time{}, zonesOut: map[string]bool{},
+		former: map[incarnation]formerServer{},
 	}
 }
 
@@ -125,6 +144,9 @@
 // Put applies a new or changed entry.
 func (r *Roster) Put(s Server) Change {
 	old := r.servers[s.ID]
+	if r.isOutdated(old, &s) {
+		return Outdated{Server: &s}
+	}
 	if _, ok := r.missingUntil[s.ID]; ok {
 		delete(r.missingUntil, s.ID)
 		r.byService = nil
@@ -134,18 +156,29 @@
 	}
 	r.servers[s.ID] = &s
 	r.byService = nil
+	delete(r.former, s.incarnation())
 	if old == nil {
 		return Joined{Server: &s}
 	}
 	if old.incarnation() != s.incarnation() || old.Address != s.Address {
 		if old.incarnation() != s.incarnation() {
 			delete(r.leaving, old.incarnation())
+			r.former[old.incarnation()] = formerServer{sequence: old.Sequence, replaced: true}
 		}
 		return Joined{Server: &s, Previous: old}
 	}
 	return Updated{Server: &s, Draining: s.Draining && !old.Draining}
 }
 
+// isOutdated reports whether an entry was written before what is known of its server.
+func (r *Roster) isOutdated(known, s *Server) bool {
+	if known != nil && known.incarnation() == s.incarnation() {
+		return s.Sequence < known.Sequence
+	}
+	former, ok := r.former[s.incarnation()]
+	return ok && (s.Sequence < former.sequence || former.replaced && s.Sequence == former.sequence)
+}
+
 // Remove applies the removal of an entry.
 func (r *Roster) Remove(now time.Time, id string) Change {
 	s := r.servers[id]
@@ -167,6 +200,7 @@
 	delete(r.servers, s.ID)
 	delete(r.missingUntil, s.ID)
 	r.byService = nil
+	r.former[s.incarnation()] = formerServer{sequence: s.Sequence}
 	return Left{s}
 }
 
@@ -227,8 +261,8 @@
 	return list
 }
 
-// Expire drops the servers whose entries have been missing for too long, and the announcements of servers that have had
-// no entry for a long time.
+// Expire drops the servers whose entries have been missing for too long, and what is known of servers that have had no entry for a
+// long time.
 func (r *Roster) Expire(now time.Time) []Change {
 	var changes []Change
 	for leaving, lastEntry := range r.leaving {
@@ -238,6 +272,15 @@
 			delete(r.leaving, leaving)
 		}
 	}
+	for id, f := range r.former {
+		switch {
+		case f.since.IsZero():
+			f.since = now
+			r.former[id] = f
+		case now.Sub(f.since) > leavingMemory:
+			delete(r.former, id)
+		}
+	}
 	for id, until := range r.missingUntil {
 		if !now.Before(until) {
 			changes = append(changes, r.drop(r.servers[id]))
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,6 +24,15 @@
 	return s
 }
 
+// beat sets how many beats the server had written before.
+func beat(sequence int64) func(*roster.Server) {
+	return func(s *roster.Server) { s.Sequence = sequence }
+}
+
+func drainingAt(sequence int64) func(*roster.Server) {
+	return func(s *roster.Server) { s.Sequence, s.Draining = sequence, true }
+}
+
 func inService(r *roster.Roster) string {
 	var list []string
 	for _, s := range r.InService("pool") {
@@ -32,8 +41,8 @@
 	return fmt.Sprint(list)
 }
 
-// Guards against new requests for backend servers that are draining, removed, in a zone out of service or restarted,
-// and against dropping live ones whose entries disappeared in a store outage.
+// Guards against new requests for backend servers that are draining, removed, in a zone out of service or restarted, also if the store
+// carries out an earlier write of a server late, and against dropping live ones whose entries disappeared in a store outage.
 func TestRoster(t *testing.T) {
 	cases := map[string]struct {
 		apply func(*roster.Roster)
@@ -84,6 +93,56 @@
 			r.StoreRecovered(start)
 			r.Remove(start, "a")
 		}, "[b]", true},
+		"late beat from before the drain": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, drainingAt(8)))
+			r.Put(entry("a", 6, beat(7)))
+		}, "[b]", true},
+		"drain withdrawn": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, drainingAt(8)))
+			r.Put(entry("a", 6, beat(9)))
+		}, "[a b]", false},
+		"late beat, read with the complete list": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, drainingAt(8)))
+			r.Replace(start, []roster.Server{entry("a", 6, beat(7)), entry("b", 2, nil)})
+		}, "[b]", true},
+		"late beat after the server has left": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, drainingAt(8)))
+			r.Remove(start, "a")
+			r.Put(entry("a", 6, beat(7)))
+			r.Expire(start.Add(time.Second))
+			r.Put(entry("a", 7, beat(7)))
+		}, "[b]", true},
+		"late beat after an outage of the store": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, beat(8)))
+			r.StoreRecovered(start)
+			r.Remove(start, "a")
+			r.Expire(start.Add(3 * time.Second))
+			r.Put(entry("a", 6, beat(7)))
+		}, "[b]", true},
+		"back with a later beat after an outage": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, beat(8)))
+			r.StoreRecovered(start)
+			r.Remove(start, "a")
+			r.Expire(start.Add(3 * time.Second))
+			r.Put(entry("a", 6, beat(9)))
+		}, "[a b]", false},
+		"restarted, counts anew": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, beat(8)))
+			r.Put(entry("a", 6, func(s *roster.Server) { s.StartedAt = time.UnixMilli(9) }))
+		}, "[a b]", true},
+		"late beat of the incarnation before the restart": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, beat(8)))
+			r.Put(entry("a", 6, func(s *roster.Server) { s.StartedAt, s.Draining = time.UnixMilli(9), true }))
+			r.Put(entry("a", 7, beat(8)))
+		}, "[b]", true},
+		"late beat of an incarnation that was not known": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, beat(8)))
+			r.Put(entry("a", 6, func(s *roster.Server) { s.StartedAt, s.Draining = time.UnixMilli(0), true }))
+			r.Put(entry("a", 7, beat(9)))
+		}, "[a b]", false},
+		"restarted with its clock set back": {func(r *roster.Roster) {
+			r.Put(entry("a", 5, func(s *roster.Server) { s.StartedAt = time.UnixMilli(0) }))
+		}, "[a b]", true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
