gateway: held and repeated requests follow the table in force

A request that was held or repeated was sent with the workspace, kind and number of attempts of its arrival, although a later table gave its key to another workspace, or its route other rules.

Cause: before each send the gateway asked the table in force only whether key and route still stand. Attempts on servers without an entry did not count, although such servers may go on serving. Change: followTable keeps the admission by the table in force; a request may run again only if both tables allow it. A server that sent at least the head of an answer counts as an attempt.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,7 +6,6 @@
 
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
-	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/internal/suspect"
 )
 
@@ -112,8 +111,7 @@
 		return nil, 0
 	}
 	g.mu.Lock()
-	admitted, ok := q.stillAdmitted()
-	ok = ok && q.followShares(admitted.Route)
+	ok := q.followTable() && q.maySendAgain() && q.followShares(q.current.Route)
 	requestQuarantine, quarantined := q.checkRequest(now).(suspect.RequestQuarantined)
 	parts := q.checkParts(now)
 	partQuarantine, isPartQuarantined := parts.(suspect.PartQuarantined)
@@ -156,7 +154,7 @@
 		return nil, p.Delay
 	case dispatch.NoPlacement:
 		q.sends--
-		g.log.Info("no placement", "request", q.req.ID, "reason", string(p.Reason), "tried", len(q.tried), "table", admitted.Version,
+		g.log.Info("no placement", "request", q.req.ID, "reason", string(p.Reason), "tried", len(q.tried), "table", q.current.Version,
 			"queue-ahead-ms", p.Queue.Ahead.Milliseconds(), "queue-allowed-ms", p.Queue.Allowed.Milliseconds(), "queue-wait-ms", p.Queue.Wait.Milliseconds())
 		q.giveUp(string(p.Reason), p.RetryAfter)
 		return nil, 0
@@ -171,19 +169,12 @@
 	a.probe, q.probesPart, q.probesRequest = q.probesRequest, false, false
 	a.last = q.sends >= maxSends || q.attemptsLeft() <= 1
 	g.log.Info("sent", "request", q.req.ID, "backend", a.server.ID, "send", q.sends, "helpers", serverIDs(a.helpers),
-		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", admitted.Version,
+		"expected-ms", a.expected.Milliseconds(), "remaining-ms", remaining.Milliseconds(), "table", q.current.Version,
 		"backend-revision", a.server.Revision, "short", a.load.Short, "long", a.load.Long, "unread-ms", a.load.PendingPrefill.Milliseconds(),
 		"gateways", gateways, "peer-age-ms", peerAge.Milliseconds())
 	return a, 0
 }
 
-// stillAdmitted returns the present admission of a request that was admitted on arrival, and reports whether it holds. It
-// must be called with the gateway's lock held.
-func (q *request) stillAdmitted() (route.Admitted, bool) {
-	admitted, ok := q.gateway.currentTable.AdmitAgain(q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
-	return admitted, ok
-}
-
 // place asks the planner for a placement and records it. It must be called with the gateway's lock held.
 func (q *request) place(now time.Time) (dispatch.Placement, dispatch.PlacementID) {
 	planner, profile := q.gateway.planner, q.currentProfile()
@@ -248,7 +239,7 @@
 // expire ends a request whose deadline has passed, which must end because of a shutdown, or whose caller has disconnected.
 func (q *request) expire() {
 	if q.deadline.Sub(q.gateway.clock.Now()) < minRemaining {
-		if len(q.ranOn) == 0 && !q.delivered {
+		if len(q.runs) == 0 && !q.delivered {
 			q.refuse("deadline", retryAfterDefault)
 			return
 		}
@@ -262,13 +253,16 @@
 	q.leave()
 }
 
-// mayStillSend reports whether the backend servers of an attempt still take requests. Time passes between the placement
-// and the send when memory is reserved first.
+// mayStillSend reports whether the table still admits the request and the backend servers of an attempt still take requests. Time
+// passes between the placement and the send when memory is reserved first.
 func (q *request) mayStillSend(a *attempt) bool {
 	g := q.gateway
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !q.followTable() || !q.maySendAgain() {
+		return false
+	}
 	for _, s := range append([]*roster.Server{a.server}, a.helpers...) {
 		if !g.roster.StillInService(s) || g.planner.BusyFor(now, s) > 0 {
 			return false
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,7 +27,7 @@
 func (q *request) exchange(a *attempt, wait time.Duration, extend func() time.Duration, from resumePoint) (*backend.Exchange, ResponseHead, error) {
 	g := q.gateway
 	remaining := q.deadline.Sub(g.clock.Now())
-	encoded := Attempt{Server: a.server, Workspace: q.admitted.Workspace, Remaining: remaining, Urgency: -1}
+	encoded := Attempt{Server: a.server, Workspace: q.current.Workspace, Remaining: remaining, Urgency: -1}
 	if q.profile.Engine != nil {
 		encoded.Urgency = urgencyLong
 		if q.profile.Short() {
@@ -44,7 +44,7 @@
 	plain := q.admitted.Route.Kind != route.Stream
 	options := backend.ExchangeOptions{
 		Address: a.server.Address, DialTimeout: min(dialTimeout, remaining), HeadTimeout: min(wait, remaining), Extend: extend,
-		NewConnection: !q.admitted.Route.Idempotent(), IdleLimit: q.idleLimit,
+		NewConnection: !q.idempotent(), IdleLimit: q.idleLimit,
 		Matches: func(resp *http.Response, reused bool) bool { return g.matchesRequest(&q.req, resp, reused) },
 	}
 	if plain {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -32,7 +32,7 @@
 		failure = &backend.Error{Op: "exchange", Kind: backend.KindConnectionLost, Err: err}
 	}
 	if failure.Sent() {
-		q.ranOn = append(q.ranOn, a.server)
+		q.runs = append(q.runs, run{server: a.server, answered: failure.Kind == backend.KindMalformed})
 	}
 	q.tried = append(q.tried, a.server.ID)
 	if failure.Sent() && failure.Kind != backend.KindConnectionLost {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -23,7 +23,7 @@
 // deadline for a backend server that hangs.
 func (q *request) plainWait(a *attempt) time.Duration {
 	remaining := q.deadline.Sub(q.gateway.clock.Now())
-	if a.last || !q.admitted.Route.Idempotent() || q.profile.Target == 0 {
+	if a.last || !q.idempotent() || q.profile.Target == 0 {
 		return remaining
 	}
 	return min(remaining, time.Duration(retryAfterTargets*float64(q.profile.Target)))
@@ -60,11 +60,11 @@
 	q.endExchange(x, head)
 	if head.NotRun {
 		if !q.identified(x, head) {
-			q.ranOn = append(q.ranOn, a.server)
+			q.runs = append(q.runs, run{server: a.server, answered: true})
 		}
 		return q.handleRefusal(a, head)
 	}
-	q.ranOn = append(q.ranOn, a.server)
+	q.runs = append(q.runs, run{server: a.server, answered: true})
 	return nil
 }
 
@@ -81,7 +81,7 @@
 		// The memory is taken by other requests, which says nothing about this backend server.
 		g.metrics.count("responses-no-memory")
 		g.log.Info("response dropped: no memory for its body", "request", q.req.ID, "backend", a.server.ID, "bytes", limit.Size, "held-bytes", g.responseBodies.Usage().Used)
-		q.ranOn, q.tried = append(q.ranOn, a.server), append(q.tried, a.server.ID)
+		q.runs, q.tried = append(q.runs, run{server: a.server, answered: true}), append(q.tried, a.server.ID)
 		q.recordGivenUp(a)
 		q.recordOutcome(a, dispatch.Abandoned{})
 		return retryable{"response-memory"}
@@ -101,7 +101,7 @@
 		q.recordOutcome(a, dispatch.Lost{})
 		q.gateway.log.Info("response without signature", "request", q.req.ID, "backend", a.server.ID, "status", head.Status)
 		return retryable{"unsigned"}
-	case head.Status >= 500 && q.admitted.Route.Idempotent() && q.mayRetry():
+	case head.Status >= 500 && q.idempotent() && q.mayRetry():
 		q.tried = append(q.tried, a.server.ID)
 		q.recordOutcome(a, dispatch.Errored{})
 		q.gateway.log.Info("backend server answered with an error status", "request", q.req.ID, "backend", a.server.ID, "status", head.Status)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -6,10 +6,41 @@
 
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
+	"berylward.example/berylward/internal/route"
 )
 
+// run is a backend server that may have run the request.
+type run struct {
+	server *roster.Server
+	// answered is set if the server has sent at least the head of a response, so that it had neither ended nor been cut off.
+	answered bool
+}
+
+// followTable applies the table in force to a request that was admitted on arrival, and reports whether the table still admits
+// it. Its key may belong to another workspace by now, and its route may have other rules for retries. followTable must be called
+// with the gateway's lock held.
+func (q *request) followTable() bool {
+	admitted, ok := q.gateway.currentTable.AdmitAgain(q.req.Host, q.req.Path, q.req.Key).(route.Admitted)
+	if ok {
+		q.current = admitted
+	}
+	return ok
+}
+
+// idempotent reports whether the request may run more than once, both by the table on arrival and by the one in force.
+func (q *request) idempotent() bool {
+	return q.admitted.Route.Idempotent() && q.current.Route.Idempotent()
+}
+
+// maySendAgain reports whether the route allows another backend server to run the request. It must be called with the gateway's
+// lock held.
+func (q *request) maySendAgain() bool {
+	return len(q.runs) == 0 || q.idempotent() && q.countAttemptsLeft() > 0
+}
+
 // attemptsLeft returns how many more backend servers may run the request. Backend servers that have ended do not count
-// against the route's limit; those that drain do, because they may still be running it.
+// against the route's limit; those that drain do, because they may still be running it. So do those that answered: a server
+// whose entry is removed without notice goes on serving for a while.
 func (q *request) attemptsLeft() int {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
@@ -18,9 +49,9 @@
 
 // countAttemptsLeft is attemptsLeft for callers that hold the gateway's lock.
 func (q *request) countAttemptsLeft() int {
-	remaining := q.admitted.Route.MaxAttempts
-	for _, s := range q.ranOn {
-		if q.gateway.roster.Present(s) {
+	remaining := min(q.admitted.Route.MaxAttempts, q.current.Route.MaxAttempts)
+	for _, r := range q.runs {
+		if r.answered || q.gateway.roster.Present(r.server) {
 			remaining--
 		}
 	}
@@ -31,15 +62,14 @@
 // have run, ended now. It must be called with the gateway's lock held.
 func (q *request) maySendElsewhere(now time.Time, a *attempt) bool {
 	g := q.gateway
-	if q.sends >= maxSends || !q.admitted.Route.Idempotent() || !g.retries.Allows(now, dispatch.ServiceKey(q.service)) {
+	if q.sends >= maxSends || !q.followTable() || !q.idempotent() || !g.retries.Allows(now, dispatch.ServiceKey(q.service)) {
 		return false
 	}
 	left := q.countAttemptsLeft()
 	if g.roster.Present(a.server) {
 		left--
 	}
-	_, admitted := q.stillAdmitted()
-	return left > 0 && admitted && !g.requests.Quarantined(now, q.fingerprint) && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
+	return left > 0 && !g.requests.Quarantined(now, q.fingerprint) && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
 		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
 	}) && q.completesElsewhere(now, a)
 }
@@ -60,15 +90,14 @@
 	return false
 }
 
-// mayRetry reports whether the request may be sent again after it may have run on the backend servers in q.ranOn.
+// mayRetry reports whether the request may be sent again after an attempt has failed.
 func (q *request) mayRetry() bool {
 	if q.sends >= maxSends || q.ctx.Err() != nil {
 		return false
 	}
-	if len(q.ranOn) == 0 {
-		return true
-	}
-	return q.admitted.Route.Idempotent() && q.attemptsLeft() > 0
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	return q.maySendAgain()
 }
 
 // retryDelay returns the retry delay for the caller of a request that may not be sent again. It is the time until a
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"berylward.example/berylward/internal/dispatch"
-	"berylward.example/berylward/internal/roster"
 	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/internal/suspect"
 )
@@ -37,23 +36,24 @@
 
 // request is one request of a caller. It is owned by the goroutine of its connection.
 type request struct {
-	gateway     *Gateway
-	response    http.ResponseWriter
-	ctx         context.Context
-	req         CallerRequest
-	body        []byte
-	admitted    route.Admitted
-	arrivedAt   time.Time
-	deadline    time.Time
-	service     string
-	profile     dispatch.RequestProfile
-	idleLimit   int // idle connections that may be kept to each backend server of the service
-	fingerprint suspect.Fingerprint
-	tried       []string
-	ranOn       []*roster.Server // backend servers that may have run the request
-	sends       int
-	exchanged   bool // the request may have reached a backend server
-	probesPart  bool // the request may be sent once, to show whether a quarantined part still ends backend servers
+	gateway  *Gateway
+	response http.ResponseWriter
+	ctx      context.Context
+	req      CallerRequest
+	body     []byte
+	// admitted is the admission on arrival; current is the one by the table in force when the request was placed last.
+	admitted, current route.Admitted
+	arrivedAt         time.Time
+	deadline          time.Time
+	service           string
+	profile           dispatch.RequestProfile
+	idleLimit         int // idle connections that may be kept to each backend server of the service
+	fingerprint       suspect.Fingerprint
+	tried             []string
+	runs              []run
+	sends             int
+	exchanged         bool // the request may have reached a backend server
+	probesPart        bool // the request may be sent once, to show whether a quarantined part still ends backend servers
 	// probesRequest is set if the request may be sent once, to show whether it ends backend servers itself.
 	probesRequest bool
 	holdReasons   []dispatch.HoldReason
@@ -122,7 +122,7 @@
 	g.mu.Unlock()
 	switch a := admission.(type) {
 	case route.Admitted:
-		q.admitted = a
+		q.admitted, q.current = a, a
 		q.setDeadline()
 		if g.refusesWhileStopping(a.Route, q.deadline.Sub(g.clock.Now())) {
 			g.log.Info("request refused: stopping", "request", q.req.ID, "running", g.active.Load())
@@ -256,7 +256,7 @@
 // giveUp ends a request that must not be sent again. It refuses the request if it cannot have run, and fails it
 // otherwise.
 func (q *request) giveUp(reason string, retryAfter time.Duration) {
-	if q.delivered || len(q.ranOn) > 0 {
+	if q.delivered || len(q.runs) > 0 {
 		q.fail(reason)
 		return
 	}
@@ -273,7 +273,7 @@
 		q.gateway.metrics.prompts.record(q.admitted.Route.Name, q.profile.Prompt, q.outcome, q.heldTime)
 	}
 	q.gateway.log.Info("request ended", "request", q.req.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
-		"workspace", q.admitted.Workspace, "table", q.admitted.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
+		"workspace", q.current.Workspace, "table", q.current.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
 		"gap-ms", q.longestGap.Milliseconds(), "took-ms", elapsed.Milliseconds(), "prompt", q.profile.Prompt,
 		"held-ms", q.heldTime.Milliseconds(), "fingerprint", q.fingerprint.Short())
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -163,7 +163,7 @@
 // shutdown. Predictions do not count for it, because its failure could not be repaired by another send.
 func (q *request) outlastsShutdown(remaining time.Duration) bool {
 	r := q.admitted.Route
-	return r.Kind == route.Unsafe && len(q.ranOn) == 0 && q.gateway.refusesWhileStopping(r, remaining)
+	return r.Kind == route.Unsafe && len(q.runs) == 0 && q.gateway.refusesWhileStopping(r, remaining)
 }
 
 // completeBy returns the time by which the answer must be complete because of a shutdown; zero when there is none.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,7 +92,7 @@
 // firstWait returns how long an attempt may wait for its first event.
 func (q *request) firstWait(a *attempt) time.Duration {
 	remaining := q.deadline.Sub(q.gateway.clock.Now())
-	if a.last || !q.admitted.Route.Idempotent() {
+	if a.last || !q.idempotent() {
 		return remaining
 	}
 	wait := max(firstWaitMin, time.Duration(firstWaitFactor*float64(a.expected)))
@@ -106,7 +106,7 @@
 // gapWait returns how long an attempt may wait for its next event.
 func (q *request) gapWait(a *attempt) time.Duration {
 	remaining := q.deadline.Sub(q.gateway.clock.Now())
-	if a.last || !q.admitted.Route.Idempotent() || q.admitted.Route.MaxGap == 0 {
+	if a.last || !q.idempotent() || q.admitted.Route.MaxGap == 0 {
 		return remaining
 	}
 	return min(remaining, max(gapWaitMin, time.Duration(gapWaitFactor*float64(q.admitted.Route.MaxGap))))
@@ -140,7 +140,7 @@
 	if err == nil {
 		q.endExchange(x, head)
 		q.recordAnswer(a, true)
-		q.ranOn = append(q.ranOn, a.server)
+		q.runs = append(q.runs, run{server: a.server, answered: true})
 		q.recordOutcome(a, dispatch.Answered{})
 		q.outcome = "answered"
 		return completed{}
