gateway, telemetry: a read of the metrics cannot stop requests, and metrics of former routes are dropped

Requests of new routes and a read of /debug/vars could stand still for good; metrics were kept for each route name for ever. Found on reading.

Cause: the first latency of a route was added to an expvar.Map under the lock of the histograms, while a read of the map holds the map's lock and asks for the histograms. Change: the metrics of a slice are published by one function, which takes the lock for the copy only. Histograms and counters are kept for the 512 routes that were used last.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"k8s.io/klog/v2"
 
 	"berylward.example/berylward/internal/telemetry"
@@ -16,55 +17,75 @@
 	// Histograms cover 1 to 60,000 ms with two significant digits.
 	histogramMax    = 60_000
 	histogramDigits = 2
+	// maxRouteMetrics is the number of routes of which metrics are kept. Releases rename routes, and the histograms of a route take
+	// memory as long as they are kept.
+	maxRouteMetrics = 512
 )
 
-// metrics holds counters and latency histograms. It is safe for concurrent use.
+// metrics holds counters and latency histograms. It is safe for concurrent use. A read of the metrics waits for the lock of the
+// histograms, so nothing that waits for expvar may hold that lock.
 type metrics struct {
 	counters   *expvar.Map
 	prompts    *promptMetrics
-	latencies  *expvar.Map
 	mu         sync.Mutex
-	histograms map[string]*hdrhistogram.Histogram
+	histograms *simplelru.LRU[string, *hdrhistogram.Histogram]
 }
 
 func newMetrics(m *telemetry.Metrics) *metrics {
-	out := &metrics{counters: new(expvar.Map), latencies: new(expvar.Map), histograms: map[string]*hdrhistogram.Histogram{}}
-	prompts := new(expvar.Map)
+	// Each route has a histogram of whole answers and one of first bytes.
+	out := &metrics{counters: new(expvar.Map), histograms: newLRU[*hdrhistogram.Histogram](2 * maxRouteMetrics), prompts: newPromptMetrics()}
 	if m != nil {
-		out.counters, out.latencies, prompts = m.Slice("gateway"), m.Slice("gateway-latency-ms"), m.Slice("gateway-prompts")
+		out.counters = m.Slice("gateway")
+		m.Publish("gateway-latency-ms", func() any { return out.latencies() })
+		m.Publish("gateway-prompts", func() any { return out.prompts.counters() })
 	}
-	out.prompts = newPromptMetrics(prompts)
 	return out
 }
 
+// newLRU returns a cache that drops the value which was used least recently when it is full.
+func newLRU[V any](size int) *simplelru.LRU[string, V] {
+	cache, err := simplelru.NewLRU[string, V](size, nil)
+	if err != nil {
+		panic(err) // NewLRU fails only for a size below one.
+	}
+	return cache
+}
+
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
-// observe records a latency in the histogram of the given name.
+// observe records a latency in the histogram of the given name, which is dropped once too many others have been used since.
 func (m *metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := m.histograms[name]
-	if h == nil {
+	h, ok := m.histograms.Get(name)
+	if !ok {
 		h = hdrhistogram.New(1, histogramMax, histogramDigits)
-		m.histograms[name] = h
-		m.latencies.Set(name, expvar.Func(func() any { return m.summary(name) }))
+		m.histograms.Add(name, h)
 	}
 	// The value is clamped to the range of the histogram, so recording cannot fail.
 	_ = h.RecordValue(min(max(d.Milliseconds(), 1), histogramMax))
 }
 
-// summary returns the quantiles of a histogram in milliseconds.
-func (m *metrics) summary(name string) any {
+// latency holds quantiles of a histogram in milliseconds.
+type latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+// latencies returns the quantiles of each histogram.
+func (m *metrics) latencies() map[string]latency {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := m.histograms[name]
-	return struct {
-		Count int64 `json:"count"`
-		P50   int64 `json:"p50"`
-		P90   int64 `json:"p90"`
-		P99   int64 `json:"p99"`
-		Max   int64 `json:"max"`
-	}{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
+	all := make(map[string]latency, m.histograms.Len())
+	for _, name := range m.histograms.Keys() {
+		if h, ok := m.histograms.Peek(name); ok {
+			all[name] = latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
+		}
+	}
+	return all
 }
 
 // newHTTPLog returns a logger for the messages of net/http, which concern the connections of callers.
--- a/internal/gateway/prompt_metrics.go
+++ b/internal/gateway/prompt_metrics.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
-	"expvar"
+	"maps"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"berylward.example/berylward/internal/lengths"
 )
 
@@ -42,42 +44,61 @@
 }
 
 // promptMetrics counts requests with prompts by route, band of prompt length and outcome, and adds up how long they
-// were held. It also counts by route how many prompts of each length were answered. It is safe for concurrent use.
+// were held. It also counts by route how many prompts of each length were answered. It keeps the maxRouteMetrics
+// routes that were used last. It is safe for concurrent use.
 type promptMetrics struct {
-	values  *expvar.Map
-	mu      sync.Mutex
-	byRoute map[string]*lengths.Histogram
+	mu     sync.Mutex
+	routes *simplelru.LRU[string, *routePrompts]
+}
+
+// routePrompts counts the prompts of one route, by the name of a counter and by length.
+type routePrompts struct {
+	counters map[string]int64
+	byLength lengths.Histogram
 }
 
-func newPromptMetrics(values *expvar.Map) *promptMetrics {
-	return &promptMetrics{values: values, byRoute: map[string]*lengths.Histogram{}}
+func newPromptMetrics() *promptMetrics {
+	return &promptMetrics{routes: newLRU[*routePrompts](maxRouteMetrics)}
 }
 
 // record counts a request that has ended.
 func (m *promptMetrics) record(route string, tokens int64, outcome string, held time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.routes.Get(route)
+	if !ok {
+		r = &routePrompts{counters: map[string]int64{}}
+		m.routes.Add(route, r)
+	}
 	prefix := route + "/" + bandName(tokens) + "/"
-	m.values.Add(prefix+outcomeClass(outcome), 1)
+	r.counters[prefix+outcomeClass(outcome)]++
 	if held > 0 {
-		m.values.Add(prefix+"held", 1)
-		m.values.Add(prefix+"held-ms", held.Milliseconds())
+		r.counters[prefix+"held"]++
+		r.counters[prefix+"held-ms"] += held.Milliseconds()
 	}
+	r.byLength.Record(tokens, outcome == "answered")
+}
+
+// counters returns the counters of all routes.
+func (m *promptMetrics) counters() map[string]int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := m.byRoute[route]
-	if h == nil {
-		h = &lengths.Histogram{}
-		m.byRoute[route] = h
+	all := map[string]int64{}
+	for _, r := range m.routes.Values() {
+		maps.Copy(all, r.counters)
 	}
-	h.Record(tokens, outcome == "answered")
+	return all
 }
 
 // shares returns by route how many prompts of different lengths were answered. Each attempt of a caller counts.
 func (m *promptMetrics) shares() map[string]lengths.Shares {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	shares := make(map[string]lengths.Shares, len(m.byRoute))
-	for route, h := range m.byRoute {
-		shares[route] = h.Shares()
+	shares := make(map[string]lengths.Shares, m.routes.Len())
+	for _, route := range m.routes.Keys() {
+		if r, ok := m.routes.Peek(route); ok {
+			shares[route] = r.byLength.Shares()
+		}
 	}
 	return shares
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -33,3 +33,7 @@
 	m.slices.Set(name, group)
 	return group
 }
+
+// Publish publishes a slice whose metrics f returns at each read, as a value that encoding/json can encode. f must not add metrics to
+// the instance, whose lock is held.
+func (m *Metrics) Publish(name string, f func() any) { m.slices.Set(name, expvar.Func(f)) }
