command, telemetry, ossignal: processes outlive the readers of their logs and spans, and take signals from their start on

A gateway ended at its next log line when the reader of its output went away (SIGPIPE, exit code 141), and did not end at a stop when the reader blocked. SIGHUP in the first 5 ms ended a gateway, and an entry or a sidecar at any time. Requests that run are lost with the process.

Causes: nobody asked for SIGPIPE; commands asked for signals only when they ran, after all libraries were initialized. The log queue waited for its reader without a bound, and entries and sidecars had none. Change: internal/ossignal receives signals as soon as it is initialized, before the large libraries. All three kinds of processes write logs and spans through queues that never block, wait 0.5 s at the end, and count what is lost.

Both faults share tests and code, hence one commit.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -58,7 +58,7 @@
 		e, err := entry.Start(
 			entry.Options{Instance: p.instance, Zone: p.zone, Region: p.region, Listener: listener, Platform: p.platform},
 			entry.WithLogger(instr.logs.Logger("entry")), entry.WithMetrics(instr.metrics.Slice("entry")),
-			entry.WithTracer(instr.tracer), entry.WithLinkOptions(p.linkOptions(config)...),
+			entry.WithTracer(instr.traces.Provider()), entry.WithLinkOptions(p.linkOptions(config)...),
 			entry.WithSeeds(seeds), entry.WithPolicy(placementPolicies[policy]), entry.WithStopDelay(stopDelay),
 			entry.WithMemoryLimit(memoryLimit),
 		)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -11,7 +11,6 @@
 	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/gateway"
-	"berylward.example/berylward/internal/telemetry"
 	"berylward.example/berylward/platform"
 )
 
@@ -43,9 +42,7 @@
 		if settings.MemoryLimit > 0 {
 			debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
 		}
-		logQueue := telemetry.NewLogQueue(os.Stdout, clock.RealClock{})
-		defer logQueue.Close()
-		p := processFlags{instance: settings.Instance, admin: admin, logLevels: logLevels, traces: traces, logOutput: logQueue}
+		p := processFlags{instance: settings.Instance, admin: admin, logLevels: logLevels, traces: traces, logOutput: os.Stdout}
 		instr, err := p.startInstrumentation(cmd.Context())
 		if err != nil {
 			return err
@@ -54,7 +51,7 @@
 		store := platform.NewStore(settings.Store, nil)
 		defer store.Close()
 		g, err := gateway.Start(settings.Settings, platform.Protocol{}, store, gateway.WithClock(shiftedClock{offset: offset}),
-			gateway.WithLogger(instr.logs.Logger("gateway")), gateway.WithMetrics(instr.metrics), gateway.WithTracer(instr.tracer))
+			gateway.WithLogger(instr.logs.Logger("gateway")), gateway.WithMetrics(instr.metrics), gateway.WithTracer(instr.traces.Provider()))
 		if err != nil {
 			return err
 		}
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -11,15 +11,14 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.opentelemetry.io/otel/trace"
+	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/link"
+	"berylward.example/berylward/internal/ossignal"
 	"berylward.example/berylward/internal/telemetry"
 )
 
@@ -146,10 +145,10 @@
 
 // instrumentation holds the logs, metrics, traces and the admin server of a process.
 type instrumentation struct {
-	logs        *telemetry.Logs
-	metrics     *telemetry.Metrics
-	tracer      trace.TracerProvider
-	flushTraces func(context.Context) error
+	logs     *telemetry.Logs
+	logQueue *telemetry.LineQueue
+	metrics  *telemetry.Metrics
+	traces   *telemetry.Traces
 	// adminListener is nil without --admin-listen; admin is nil until serveAdmin is called.
 	adminListener net.Listener
 	admin         *http.Server
@@ -161,18 +160,23 @@
 	if out == nil {
 		out = os.Stderr
 	}
-	logs, err := telemetry.NewLogs(out, p.logLevels)
+	traces, err := telemetry.NewTraces(ctx, p.traces, p.instance)
 	if err != nil {
 		return nil, err
 	}
-	tracer, flush, err := telemetry.NewTracerProvider(ctx, p.traces, p.instance)
-	if err != nil {
+	i := &instrumentation{
+		logQueue: telemetry.NewLogQueue(out, clock.RealClock{}), metrics: telemetry.NewMetrics(p.instance), traces: traces,
+	}
+	i.metrics.Slice("telemetry").Set("log-lines-dropped", expvar.Func(func() any { return i.logQueue.Dropped() }))
+	i.metrics.Slice("telemetry").Set("spans-dropped", expvar.Func(func() any { return traces.Dropped() }))
+	if i.logs, err = telemetry.NewLogs(i.logQueue, p.logLevels); err != nil {
+		i.stop()
 		return nil, err
 	}
-	i := &instrumentation{logs: logs, metrics: telemetry.NewMetrics(p.instance), tracer: tracer, flushTraces: flush}
 	if p.admin.IsValid() {
 		if i.adminListener, err = listen(p.admin, nil); err != nil {
-			return nil, errors.Join(err, flush(ctx))
+			i.stop()
+			return nil, err
 		}
 	}
 	return i, nil
@@ -212,7 +216,8 @@
 	case i.adminListener != nil:
 		_ = i.adminListener.Close()
 	}
-	_ = i.flushTraces(ctx)
+	_ = i.traces.Close(ctx)
+	i.logQueue.Close()
 }
 
 // component is an entry, a sidecar or a gateway. It runs until Stop is called or until it ends by itself.
@@ -226,10 +231,7 @@
 // supervise waits for a signal or until the component ends by itself, and then stops it gracefully. A second signal
 // aborts the graceful stop.
 func supervise(c component, timeout time.Duration) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	return superviseSignals(c, timeout, signals)
+	return superviseSignals(c, timeout, ossignal.Stops())
 }
 
 func superviseSignals(c component, timeout time.Duration, signals <-chan os.Signal) error {
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/gateway"
+	"berylward.example/berylward/internal/ossignal"
 	"berylward.example/berylward/platform"
 )
 
@@ -19,9 +18,6 @@
 
 // reloadSettings applies the settings again on SIGHUP and when the file changes. It returns when ctx ends.
 func reloadSettings(ctx context.Context, c clock.WithTicker, file string, g *gateway.Gateway, log klog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := c.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last, err := os.ReadFile(file)
@@ -33,7 +29,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-ossignal.Reloads():
 			signaled = true
 		case <-ticker.C():
 		}
--- a/internal/command/sidecar.go
+++ b/internal/command/sidecar.go
@@ -55,7 +55,7 @@
 				Models: strings.FieldsFunc(models, func(r rune) bool { return r == ',' }),
 			},
 			sidecar.WithLogger(instr.logs.Logger("sidecar")), sidecar.WithMetrics(instr.metrics.Slice("sidecar")),
-			sidecar.WithTracer(instr.tracer), sidecar.WithLinkOptions(p.linkOptions(config)...), sidecar.WithTicketKey(ticketKey),
+			sidecar.WithTracer(instr.traces.Provider()), sidecar.WithLinkOptions(p.linkOptions(config)...), sidecar.WithTicketKey(ticketKey),
 		)
 		if err != nil {
 			return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,8 +42,8 @@
 	// manifest and publishedDeclarations describe the generation published last.
 	manifest              site.Manifest
 	publishedDeclarations *site.Declarations
-	// traceFlushes holds the functions that export the remaining spans of each instance.
-	traceFlushes []func(context.Context) error
+	// traces holds the spans of each instance.
+	traces []*telemetry.Traces
 }
 
 // instanceListLag is the delay until a change of the instance list is visible in a demo.
@@ -250,12 +250,12 @@
 
 // tracer returns the tracer provider of an instance. Stop flushes it.
 func (f *Fleet) tracer(instance string) (trace.TracerProvider, error) {
-	provider, flush, err := telemetry.NewTracerProvider(context.Background(), f.settings.traces, instance)
+	traces, err := telemetry.NewTraces(context.Background(), f.settings.traces, instance)
 	if err != nil {
 		return nil, err
 	}
-	f.traceFlushes = append(f.traceFlushes, flush)
-	return provider, nil
+	f.traces = append(f.traces, traces)
+	return traces.Provider(), nil
 }
 
 func addrPort(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
@@ -384,8 +384,8 @@
 	if f.Platform != nil {
 		errs = append(errs, f.Platform.Stop())
 	}
-	for _, flush := range f.traceFlushes {
-		errs = append(errs, flush(ctx))
+	for _, t := range f.traces {
+		errs = append(errs, t.Close(ctx))
 	}
 	return errors.Join(errs...)
 }
--- a/internal/telemetry/queue_test.go
+++ b/internal/telemetry/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +71,60 @@
 		})
 	}
 }
+
+// lostReader fails all writes until it returns.
+type lostReader struct {
+	text strings.Builder
+	gone bool
+}
+
+func (w *lostReader) Write(p []byte) (int, error) {
+	if w.gone {
+		return 0, syscall.EPIPE
+	}
+	return w.text.Write(p)
+}
+
+// Guards against lines that are lost without a count while nobody reads the log, and against a queue that ends with its reader.
+func TestLogQueueCountsLostLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &lostReader{}
+		q := telemetry.NewLogQueue(out, clock.RealClock{})
+		write := func(line string) {
+			_, err := q.Write([]byte(line + "\n"))
+			assert.NilError(t, err)
+			synctest.Wait()
+		}
+		write("first")
+		out.gone = true
+		write("second")
+		write("third")
+		assert.Equal(t, q.Dropped(), uint64(2))
+		out.gone = false
+		write("fourth")
+		q.Close()
+		lines := strings.Split(strings.TrimSpace(out.text.String()), "\n")
+		assert.Equal(t, len(lines), 3, "%q", lines)
+		assert.Equal(t, lines[1], "fourth")
+		assert.Assert(t, strings.Contains(lines[2], `"count":2`), lines[2])
+	})
+}
+
+// Guards against a process that doesn't end because nobody reads its log, and against a panic of one that logs while it ends.
+func TestLogQueueCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockingWriter{released: make(chan struct{})}
+		q := telemetry.NewLogQueue(out, clock.RealClock{})
+		for range 100 {
+			_, err := q.Write([]byte("line\n"))
+			assert.NilError(t, err)
+		}
+		start := time.Now()
+		q.Close()
+		assert.Assert(t, time.Since(start) <= time.Second)
+		_, err := q.Write([]byte("late\n"))
+		assert.NilError(t, err)
+		q.Close()
+		close(out.released)
+	})
+}
