sidecar, standin: the list of streams is read after the engine has answered a probe

Cause: an engine that comes back answers a waiting request for its list before it takes up the streams that wait beside it; such a list said that the engine ran nothing else. Change: the list is read after a probe was answered, and speaks of what was sent, cancelled or given up before that probe. The stand-in takes up posts that came during a freeze after reads, the hardest order.

--- a/internal/scenario/failures_test.go
+++ b/internal/scenario/failures_test.go
@@ -226,6 +226,32 @@
 	}
 }
 
+// Guards against overloading a cold engine with requests that it got while it was frozen: the sidecar has given them up, and the
+// engine takes them up at its return, after it has listed its streams without them.
+func TestColdEngineTakesUpOldRequests(t *testing.T) {
+	tests := map[string]time.Duration{
+		// The sidecar's second request for the list waits from about 6.5 to 7.5 s after the start of the freeze.
+		"list not yet requested": 6 * time.Second, "list requested": 6700 * time.Millisecond, "list requested long ago": 7200 * time.Millisecond,
+	}
+	for name, frozen := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			withHarness(t, append(slices.Clone(threeZones), demo.WithEngineOptions(standin.WithColdStart())), func(t *testing.T, h *harness) {
+				h.inject("banos-engine-1", standin.Freeze{Duration: frozen})
+				first, second := promptRequests(6, 200, 2*time.Minute), promptRequests(24, 100, 2*time.Minute)
+				results := h.sendAll(first, frozen+200*time.Millisecond, func() {
+					for i, res := range h.sendAll(second, 0, nil) {
+						h.checkWholeAnswer(second[i], res)
+					}
+				})
+				for i, res := range results {
+					h.checkWholeAnswer(first[i], res)
+				}
+			})
+		})
+	}
+}
+
 // Guards against memory that is reserved for new requests while an engine that ignores cancels still holds it.
 func TestIgnoredCancels(t *testing.T) {
 	withHarness(t, append(slices.Clone(threeZones), demo.WithEngineOptions(standin.WithColdStart())), func(t *testing.T, h *harness) {
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -59,10 +59,11 @@
 	err    error
 }
 
-// streamsListed holds the engine's list of streams. sentAt is when the list was requested.
+// streamsListed holds the engine's list of streams. The list shows what became of all streams that were sent, cancelled or given
+// up before probedAt.
 type streamsListed struct {
-	list   engine.StreamList
-	sentAt time.Time
+	list     engine.StreamList
+	probedAt time.Time
 }
 
 // stopRequested asks for a graceful stop.
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -25,10 +25,16 @@
 	defer ticker.Stop()
 	var cache cacheEventPosition
 	for n := 0; ; n++ {
-		s.probe(ctx)
-		if s.Service == "" && (n%probesPerList == 0 || s.listNow.Swap(false)) {
-			s.readStreamList(ctx)
+		// A list that is requested during the probe is read after the next one.
+		listDue := s.listNow.Swap(false) || n%probesPerList == 0
+		sentAt, answered := s.probe(ctx)
+		switch {
+		case s.Service != "" || !listDue:
+		case answered:
+			s.readStreamList(ctx, sentAt)
 			s.readCacheEvents(ctx, &cache)
+		default:
+			s.listNow.Store(true)
 		}
 		select {
 		case <-ticker.C():
@@ -40,15 +46,16 @@
 }
 
 // probe requests the load. A connection can go silent although the backend server is alive, so an attempt without an
-// answer is repeated on a new one.
-func (s *Sidecar) probe(ctx context.Context) {
-	sentAt := s.clock.Now()
+// answer is repeated on a new one. It returns when the last attempt was sent and whether it was answered.
+func (s *Sidecar) probe(ctx context.Context) (sentAt time.Time, answered bool) {
+	sentAt = s.clock.Now()
 	load, err := s.readLoad(ctx)
 	if err != nil && !engine.NotRun(err) && ctx.Err() == nil {
 		sentAt = s.clock.Now()
 		load, err = s.readLoad(ctx)
 	}
 	s.events.Put(probeResult{load: load, sentAt: sentAt, err: err})
+	return sentAt, err == nil
 }
 
 func (s *Sidecar) readLoad(ctx context.Context) (engine.Load, error) {
@@ -60,15 +67,17 @@
 	return s.client.Load(ctx)
 }
 
-func (s *Sidecar) readStreamList(ctx context.Context) {
+// readStreamList reads the list of streams after the engine has answered a probe that was sent at probedAt. An engine that was
+// frozen answers a waiting request for the list before it takes up the streams that wait beside it, so a list that was
+// requested before the engine's next answer does not show what became of them.
+func (s *Sidecar) readStreamList(ctx context.Context, probedAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	sentAt := s.clock.Now()
 	list, err := s.client.Streams(ctx)
 	if err != nil {
 		return
 	}
-	s.events.Put(streamsListed{list, sentAt})
+	s.events.Put(streamsListed{list: list, probedAt: probedAt})
 }
 
 // requestStreamList makes the monitor read the engine's stream list at once.
--- a/internal/sidecar/reconcile.go
+++ b/internal/sidecar/reconcile.go
@@ -34,11 +34,11 @@
 		live[id] = true
 		streams = append(streams, memory.Stream{ID: id})
 	}
-	if !b.ownStreamsOnly && e.sentAt.After(b.foreignPossibleAt) {
+	if !b.ownStreamsOnly && e.probedAt.After(b.foreignPossibleAt) {
 		b.ownStreamsOnly = foreign == 0
 	}
 	b.correctReservations(e.list)
-	b.releaseCancelled(now, e.sentAt, live)
+	b.releaseCancelled(now, e.probedAt, live)
 	b.correctReservations(e.list)
 	for _, r := range b.reservations.Reconcile(now, streams) {
 		switch r := r.(type) {
@@ -84,12 +84,12 @@
 	b.requestStreamList()
 }
 
-// releaseCancelled releases the cancelled streams that are missing in a list which was read after their cancel. It
+// releaseCancelled releases the cancelled streams that are missing in a list whose probe was sent after their cancel. It
 // repeats the cancel of those that are still listed.
-func (b *backend) releaseCancelled(now, sentAt time.Time, live map[answer.ID]bool) {
+func (b *backend) releaseCancelled(now, probedAt time.Time, live map[answer.ID]bool) {
 	for id, s := range b.streams {
 		switch {
-		case !s.cancelPending || !sentAt.After(s.cancelledAt):
+		case !s.cancelPending || !probedAt.After(s.cancelledAt):
 		case live[id]:
 			b.metrics.Add("repeated-cancels", 1)
 			b.cancelOnEngine(id.String())
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -66,6 +66,10 @@
 	changed      chan struct{}
 }
 
+// postsAfterThaw is how much later than the reads that came during a freeze the posts are taken up that came during it. Any order is
+// possible; this one is the hardest for a client that reads a list to learn what became of its posts.
+const postsAfterThaw = time.Millisecond
+
 type silenceCountKey struct{}
 
 func newServer(s settings, handler http.Handler) *server {
@@ -290,6 +294,12 @@
 	return sv.waitUntil(ctx, func() time.Time { return end })
 }
 
+func (sv *server) isFrozen() bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.frozenUntil.After(sv.clock.Now())
+}
+
 func (sv *server) waitThawed(ctx context.Context) bool {
 	return sv.waitUntil(ctx, func() time.Time { return sv.frozenUntil })
 }
@@ -328,7 +338,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		if len(r.URL.Path) < len(controlPath) || r.URL.Path[:len(controlPath)] != controlPath {
+			frozen := sv.isFrozen()
 			sv.holdAnswer(r.Context())
+			if frozen && r.Method == http.MethodPost && !sv.sleep(r.Context(), postsAfterThaw) {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
