suspect: only probes that told nothing lengthen a tentative quarantine

Cause: the quarantine doubled with each end beyond the third, although ends say nothing about how often the request was tried in vain. Change: the time doubles with each probe during which another request was on probe at the same server. At its limit of ends a request drops the earliest one that was no probe.

--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -36,9 +36,10 @@
 	endMemory         = time.Hour
 	endMemoryReported = endMemory - 2*time.Minute
 	// requestTentativeTime is how long a request is quarantined while the ends of backend servers may have another cause. It
-	// doubles with each further end. A request that has ended a server on probe is quarantined for requestProbedTime, and
-	// requestProbedFactor times as long after each further such end: probes may be lost to other causes too. No time exceeds
-	// maxRequestTime.
+	// doubles with each inconclusive probe: another request was on probe at the same server. Other ends don't
+	// lengthen it: the request was sent before they were known, or while another one was taken for the cause. A request that has
+	// ended a server on probe is quarantined for requestProbedTime, and requestProbedFactor times as long after each further such
+	// end: probes may be lost to other causes too. No time exceeds maxRequestTime.
 	requestTentativeTime = 600 * time.Millisecond
 	requestProbedTime    = 3 * time.Second
 	requestProbedFactor  = 40
@@ -88,9 +89,8 @@
 	last time.Time // of the ends of backend servers
 	// lastOther is the last end of a backend server that the request had not been sent to.
 	lastOther time.Time
-	ends      int
-	// probes counts the ends with this request as the only one on probe.
-	probes int
+	// probes counts the ends with this request as the only one on probe, sharedProbes those with others on probe too.
+	probes, sharedProbes int
 }
 
 // until returns when the request may be tried again. While other servers end, a probe that is lost would say nothing.
@@ -104,7 +104,7 @@
 
 func (v verdict) wait() time.Duration {
 	if v.probes == 0 {
-		return min(requestTentativeTime<<min(v.ends-crashesToQuarantine, 16), maxRequestTime)
+		return min(requestTentativeTime<<min(v.sharedProbes, maxEndsPerRequest), maxRequestTime)
 	}
 	wait := requestProbedTime
 	for n := 1; n < v.probes && wait < maxRequestTime; n++ {
@@ -193,13 +193,35 @@
 		}
 		return e
 	}
-	if len(list) >= maxEndsPerRequest || len(list) == 0 && len(r.ends) >= maxSuspectRequests && !r.evictBefore(in.at) {
+	if len(list) == 0 && len(r.ends) >= maxSuspectRequests && !r.evictBefore(in.at) {
 		return nil
 	}
-	r.ends[f], r.verdicts = append(list, &in), nil
+	list = append(list, &in)
+	if len(list) > maxEndsPerRequest {
+		weakest := weakestEvidence(list)
+		if weakest == &in {
+			return nil
+		}
+		list = slices.DeleteFunc(list, func(e *end) bool { return e == weakest })
+	}
+	r.ends[f], r.verdicts = list, nil
 	return &in
 }
 
+// weakestEvidence returns the end of a server that is the weakest evidence about a request: the earliest one that it was not on probe for, or the
+// earliest of all.
+func weakestEvidence(list []*end) *end {
+	return slices.MinFunc(list, func(a, b *end) int {
+		if a.probe != b.probe {
+			if b.probe {
+				return -1
+			}
+			return 1
+		}
+		return a.at.Compare(b.at)
+	})
+}
+
 // evictBefore drops the request whose last end is the oldest, if that is before a time, and reports whether it dropped one.
 func (r *RequestRegistry) evictBefore(before time.Time) bool {
 	var victim Fingerprint
@@ -316,7 +338,7 @@
 		if len(list) < crashesToQuarantine {
 			continue
 		}
-		verdicts[f] = verdict{last: lastEnd(list), lastOther: lastWithout(serverEnds, list), ends: len(list)}
+		verdicts[f] = verdict{last: lastEnd(list), lastOther: lastWithout(serverEnds, list)}
 		for _, e := range list {
 			if e.probe {
 				probed[e.crash]++
@@ -326,8 +348,12 @@
 	explained := map[CrashID]bool{}
 	for f, v := range verdicts {
 		for _, e := range r.ends[f] {
-			if e.probe && probed[e.crash] == 1 {
+			switch {
+			case !e.probe:
+			case probed[e.crash] == 1:
 				v.probes++
+			default:
+				v.sharedProbes++
 			}
 		}
 		if verdicts[f] = v; v.probes == 0 {
--- a/internal/suspect/request_test.go
+++ b/internal/suspect/request_test.go
@@ -26,6 +26,15 @@
 	return e
 }
 
+// endsOfOne returns the ends of n servers under request 1, at the same time.
+func endsOfOne(n ServerKey) []requestEvent {
+	var events []requestEvent
+	for server := ServerKey(1); server <= n; server++ {
+		events = append(events, ended(0, server, 1))
+	}
+	return events
+}
+
 func answered(after time.Duration, request byte) requestEvent {
 	return requestEvent{after: after, requests: []LostRequest{{Fingerprint: Fingerprint{request}}}}
 }
@@ -99,6 +108,24 @@
 				ended(0, 1, 1, 2), ended(0, 2, 1, 2), ended(0, 3, 1, 2), onProbe(ended(time.Second, 4, 1, 2)),
 			}, time.Second + 2*tentative,
 		},
+		"further ends while another one was taken for the cause": {
+			[]requestEvent{
+				ended(0, 1, 1, 2), ended(0, 2, 1, 2), ended(0, 3, 1, 2), onProbe(ended(time.Second, 4, 2)),
+				ended(1100*time.Millisecond, 5, 1), ended(1200*time.Millisecond, 6, 1), ended(1300*time.Millisecond, 7, 1),
+			}, 1300*time.Millisecond + tentative,
+		},
+		"the one that was taken for the cause is answered": {
+			[]requestEvent{
+				ended(0, 1, 1, 2), ended(0, 2, 1, 2), ended(0, 3, 1, 2), onProbe(ended(time.Second, 4, 2)),
+				ended(1100*time.Millisecond, 5, 1), ended(1200*time.Millisecond, 6, 1), answered(1300*time.Millisecond, 2),
+			}, 1200*time.Millisecond + tentative,
+		},
+		"ended a server on probe, at the limit of ends": {
+			append(endsOfOne(maxEndsPerRequest), onProbe(ended(time.Second, 100, 1))), time.Second + probed,
+		},
+		"an earlier end becomes known at the limit of ends": {
+			append(endsOfOne(maxEndsPerRequest), ended(-time.Second, 100, 1)), tentative,
+		},
 		"ends over an hour ago": {
 			[]requestEvent{ended(-2*time.Hour, 1, 1), ended(0, 2, 1), ended(100*time.Millisecond, 3, 1)}, 0,
 		},
