suspect: a further prompt part that ends servers is quarantined when 64 are

With 64 quarantined parts, a 65th one that ended servers was never quarantined. Change: the part whose last crash is the oldest makes room if the new one crashed later. TestQuarantinesAtBound. Conclusion: fixed.

The tests named here were run again on this commit and, with its test files, on the one before.

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -366,15 +366,36 @@
 	})
 }
 
-// quarantine quarantines a part, and reports whether it was not quarantined before.
+// quarantine quarantines a part, and reports whether it was not quarantined before. If there are too many, the part whose last
+// crash is the oldest makes room.
 func (r *PartRegistry) quarantine(now time.Time, p Part) bool {
-	if r.quarantined[p] != nil || len(r.quarantined) >= maxQuarantines {
+	if r.quarantined[p] != nil {
+		return false
+	}
+	added := &partQuarantine{until: now.Add(tentativeTime), lastCrash: r.lastCrash(p), times: 1}
+	if len(r.quarantined) >= maxQuarantines && !r.dropQuarantineBefore(added.lastCrash) {
 		return false
 	}
-	r.quarantined[p] = &partQuarantine{until: now.Add(tentativeTime), lastCrash: r.lastCrash(p), times: 1}
+	r.quarantined[p] = added
 	return true
 }
 
+// dropQuarantineBefore drops the quarantine of the part whose last crash is the oldest, if that is before a time, and reports
+// whether it dropped one.
+func (r *PartRegistry) dropQuarantineBefore(before time.Time) bool {
+	var oldest Part
+	found := false
+	for p, c := range r.quarantined {
+		if c.lastCrash.Before(before) {
+			oldest, before, found = p, c.lastCrash, true
+		}
+	}
+	if found {
+		delete(r.quarantined, oldest)
+	}
+	return found
+}
+
 // lastCrash returns the time of the last crash that implicates a part.
 func (r *PartRegistry) lastCrash(p Part) time.Time {
 	var last time.Time
--- a/internal/suspect/part_report.go
+++ b/internal/suspect/part_report.go
@@ -119,7 +119,7 @@
 	}
 	known, added := r.quarantined[c.Part], false
 	if known == nil {
-		if c.Times <= 1 || c.Remaining <= 0 || len(r.quarantined) >= maxQuarantines {
+		if c.Times <= 1 || c.Remaining <= 0 || len(r.quarantined) >= maxQuarantines && !r.dropQuarantineBefore(lastCrash) {
 			return false
 		}
 		known, added = &partQuarantine{}, true
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -267,3 +267,32 @@
 		to.Merge(now, report)
 	}
 }
+
+// Guards against a part that ends one backend server after the other because as many others are quarantined as may be, here or
+// by another process.
+func TestQuarantinesAtBound(t *testing.T) {
+	r, other := suspect.NewPartRegistry(), suspect.NewPartRegistry()
+	now, server := partStart, suspect.ServerKey(0)
+	crash := func(part suspect.Part, request suspect.RequestTag) {
+		now, server = now.Add(time.Second), server+1
+		r.RecordCrash(now, server, []suspect.Implication{implied(part, request)})
+	}
+	isQuarantined := func(r *suspect.PartRegistry, part suspect.Part) bool {
+		_, ok := r.Check(now, 0, []suspect.Part{part}).(suspect.PartQuarantined)
+		return ok
+	}
+	for part := suspect.Part(1); part <= 200; part++ {
+		for request := range suspect.RequestTag(3) {
+			crash(part, request)
+		}
+		assert.Assert(t, isQuarantined(r, part), "part %d", part)
+		now = now.Add(time.Second)
+		assert.DeepEqual(t, r.Check(now, 0, []suspect.Part{part}), suspect.PartState(suspect.PartProbe{Part: part}))
+		crash(part, 3)
+		now = now.Add(time.Second)
+		other.Merge(now, r.Report(now))
+		assert.Assert(t, isQuarantined(r, part), "part %d after its probe", part)
+		assert.Assert(t, isQuarantined(other, part), "part %d at another process", part)
+	}
+	assert.Assert(t, !isQuarantined(r, 1), "the part whose last crash is the oldest makes room")
+}
