dispatch: state of a server that left stays as long as it matters

A server whose entry was missing for a moment was sent requests at once although it was to be avoided, and a cold one got more than its rate.

Cause: Forget dropped the state once no request was outstanding. Change: it stays while the server is avoided, wants no requests or counts against its rate limit.

Conclusion: fixed.

--- a/internal/dispatch/busy_test.go
+++ b/internal/dispatch/busy_test.go
@@ -69,15 +69,22 @@
 }
 
 // Guards against state that stays after its backend server has left while requests were outstanding there, and against a
-// wait that is forgotten before it is over.
+// wait, an avoidance or a rate limit that is forgotten before it is over: the entry may return.
 func TestForgottenServers(t *testing.T) {
+	const lost = 400 * time.Millisecond // how long a server is avoided after a lost request
 	cases := map[string]struct {
-		wait, after time.Duration
-		states      int
+		wait    time.Duration
+		outcome dispatch.Outcome
+		after   time.Duration
+		states  int
 	}{
-		"outstanding request ends": {0, time.Second, 0},
-		"wait not over":            {2 * time.Second, time.Second, 1},
-		"wait over":                {2 * time.Second, 2 * time.Second, 0},
+		"outstanding request ends": {0, dispatch.Abandoned{}, time.Second, 0},
+		"wait not over":            {2 * time.Second, dispatch.Abandoned{}, time.Second, 1},
+		"wait over":                {2 * time.Second, dispatch.Abandoned{}, 2 * time.Second, 0},
+		"avoided":                  {0, dispatch.Lost{}, lost - time.Millisecond, 1},
+		"avoided for longer":       {0, dispatch.Gone{}, 5 * time.Second, 1},
+		"avoidance over":           {0, dispatch.Lost{}, time.Second, 0},
+		"sent lately":              {0, dispatch.Answered{}, 900 * time.Millisecond, 1},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -88,9 +95,42 @@
 			p.Forget(start, list[0])
 			p.Expire(start)
 			assert.Equal(t, p.States(), 1)
-			p.RecordEnd(start, id, dispatch.Abandoned{})
+			p.RecordEnd(start, id, tc.outcome)
 			p.Expire(start.Add(tc.after))
 			assert.Equal(t, p.States(), tc.states)
 		})
 	}
 }
+
+// Guards against a cold backend server that gets more requests than it may because its entry was missing for a moment.
+func TestColdLimitOutlastsEntry(t *testing.T) {
+	const perSecond = 3
+	p, list := newPlanner(1), newServers(1)
+	list[0].ColdUntil = start.Add(time.Minute)
+	sends := 0
+	for now := start; now.Before(start.Add(900 * time.Millisecond)); now = now.Add(20 * time.Millisecond) {
+		profile := dispatch.RequestProfile{ColdPerSecond: perSecond, Deadline: now.Add(time.Second)}
+		placed := p.Place(now, profile, list, nil)
+		if _, ok := placed.(dispatch.Send); ok {
+			sends++
+		}
+		p.RecordEnd(now, p.RecordPlacement(now, profile, placed), dispatch.Answered{})
+		p.Forget(now, list[0])
+		p.Expire(now)
+	}
+	assert.Equal(t, sends, perSecond)
+}
+
+// Guards against loads that do not fit into a datagram because others report for seconds that they avoid servers which have left.
+func TestLoadsOfServersThatLeft(t *testing.T) {
+	p, list := newPlanner(1), newServers(2)
+	for _, s := range list {
+		p.RecordEnd(start, p.RecordPlacement(start, dispatch.RequestProfile{}, dispatch.Send{Server: s}), dispatch.Gone{})
+	}
+	loads, _ := p.Loads(start)
+	assert.Equal(t, len(loads), 2)
+	p.Forget(start, list[0])
+	loads, _ = p.Loads(start)
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Key, dispatch.BackendKey(list[1]))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -191,8 +191,8 @@
 	return st
 }
 
-// Forget drops the state of a backend server that has left. The state stays as long as requests are outstanding there,
-// and as long as the time for which the backend server wants no requests, because its entry may return.
+// Forget drops the state of a backend server that has left. Its entry may return, so the state stays as long as requests are
+// outstanding there, and as long as the server is avoided, wants no requests or counts against its rate limit.
 func (p *Planner) Forget(now time.Time, s *roster.Server) {
 	if st := p.states[BackendKey(s)]; st != nil {
 		st.left = true
@@ -202,7 +202,7 @@
 
 // dropIfUnused drops the state of a backend server that has left if nothing depends on it.
 func (p *Planner) dropIfUnused(now time.Time, st *serverState) {
-	if st.left && st.own == (Load{Key: st.key}) && !now.Before(st.busyUntil) {
+	if st.left && st.own == (Load{Key: st.key}) && !now.Before(st.busyUntil) && !now.Before(st.avoidUntil) && !st.cold.counts(now) {
 		delete(p.states, st.key)
 	}
 }
@@ -248,14 +248,16 @@
 const idleConnectionShare = 0.6
 
 // Loads returns the outstanding load of this gateway by backend server, and reports whether it has changed since the
-// last call.
+// last call. That a server which has left is avoided is not told: it would take the place of another load in a datagram.
 func (p *Planner) Loads(now time.Time) ([]Load, bool) {
 	changed := p.loadsChanged || p.queue.changed
 	p.loadsChanged, p.queue.changed = false, false
 	loads := make([]Load, 0, len(p.states))
 	for _, st := range p.states {
 		l := st.own
-		l.AvoidFor = max(0, st.avoidUntil.Sub(now))
+		if !st.left {
+			l.AvoidFor = max(0, st.avoidUntil.Sub(now))
+		}
 		if l.Short+l.Long > 0 || l.PendingPrefill > 0 || l.AvoidFor > 0 {
 			loads = append(loads, l)
 		}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -112,6 +112,7 @@
 type coldLimit struct {
 	start           time.Time
 	count, previous int
+	lastSend        time.Time
 	// nextSend is when the next send is due at a rate below one per coldWindow, and period the time between two sends
 	// at that rate.
 	nextSend time.Time
@@ -134,11 +135,17 @@
 func (c *coldLimit) recordSend(now time.Time) {
 	c.advance(now)
 	c.count++
+	c.lastSend = now
 	if c.period > 0 {
 		c.nextSend = now.Add(c.period)
 	}
 }
 
+// counts reports whether earlier sends still count against the limit.
+func (c *coldLimit) counts(now time.Time) bool {
+	return now.Before(c.nextSend) || now.Sub(c.lastSend) < coldWindow
+}
+
 // allows reports whether one more send stays within this gateway's share of the rate limit. With a share below one send
 // per coldWindow, each gateway draws the time of its first send at random, so that they do not all send at once.
 func (c *coldLimit) allows(now time.Time, perSecond float64, random *rand.Rand) bool {
