route, platform: a table that names no workspaces asks for no keys

Cause: a missing list was read as an empty one.

Figures: TestTableWithoutWorkspaces and TestWorkspacesOfTable fail before. Conclusion: fixed.

--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -158,6 +158,35 @@
 	}
 }
 
+// Guards against refusing all requests where the table names no workspaces, so that requests carry no keys, and against serving
+// without a key where it names workspaces that have none.
+func TestTableWithoutWorkspaces(t *testing.T) {
+	cases := map[string]struct {
+		keys, later map[string]string
+		modify      func(*gateway.CallerRequest)
+		status      int
+	}{
+		"none":                         {nil, nil, func(c *gateway.CallerRequest) { c.Key = "" }, 200},
+		"none, caller has a key":       {nil, nil, nil, 200},
+		"none, keys later":             {nil, map[string]string{callerKey: workspace}, func(c *gateway.CallerRequest) { c.Key = "" }, 401},
+		"all workspaces removed later": {map[string]string{callerKey: workspace}, nil, func(c *gateway.CallerRequest) { c.Key = "" }, 200},
+		"workspaces without keys":      {map[string]string{}, map[string]string{}, func(c *gateway.CallerRequest) { c.Key = "" }, 401},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withPreparedHarness(t, func(h *harness) { h.publish(tc.keys, testRoutes) }, func(h *harness) {
+				h.publish(tc.later, testRoutes)
+				time.Sleep(time.Second)
+				got := h.call(http.MethodPost, "/look/a", tc.modify)
+				assert.Equal(t, got.Status, tc.status)
+				for _, r := range h.runs(got.id) {
+					assert.Equal(t, r.Workspace, "")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a revoked key that is still accepted, whether the gateway sees the change, has lost the store, or was
 // suspended.
 func TestRevokedKeys(t *testing.T) {
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -12,7 +12,7 @@
 //sumtype:decl
 type Admission interface{ admission() }
 
-// Admitted holds the route of a request and, unless the route is public, its workspace.
+// Admitted holds the route of a request and, if the route needs a caller key, its workspace.
 type Admitted struct {
 	Route     *Route
 	Workspace string
@@ -118,7 +118,7 @@
 	}
 	age := now.Sub(c.provenAt)
 	decision := c.AdmitAgain(host, path, callerKey)
-	if a, ok := decision.(Admitted); ok && (a.Route.Public || c.AdmitsKeys(now)) {
+	if a, ok := decision.(Admitted); ok && (!c.table.NeedsKey(a.Route) || c.AdmitsKeys(now)) {
 		return a
 	}
 	if d, ok := decision.(Denied); ok && age <= maxDenialProofAge && (d.Reason != UnknownKey || c.AdmitsKeys(now)) {
@@ -135,7 +135,7 @@
 	if r == nil {
 		return Denied{Reason: NoRoute, Version: c.table.Version}
 	}
-	if r.Public {
+	if !c.table.NeedsKey(r) {
 		return Admitted{Route: r, Version: c.table.Version}
 	}
 	workspace, ok := c.table.Workspace(callerKey)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -102,12 +102,13 @@
 	Limits       Limits
 	services     map[string]*Service
 	routesByHost map[string][]*Route
-	// workspaces maps caller keys to workspaces.
+	// workspaces maps caller keys to workspaces. It is nil if the table names no workspaces.
 	workspaces map[string]string
 	routeCount int
 }
 
-// NewTable returns a table. workspaces maps each caller key to its workspace.
+// NewTable returns a table. workspaces maps each caller key to its workspace; nil means that the table names no workspaces, so that
+// no request needs a key. An empty map means that no key is known.
 func NewTable(version int64, routes []Route, services []Service, workspaces map[string]string, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, services: make(map[string]*Service, len(services)),
@@ -142,6 +143,9 @@
 	return nil
 }
 
+// NeedsKey reports whether requests on a route need a caller key.
+func (t *Table) NeedsKey(r *Route) bool { return !r.Public && t.workspaces != nil }
+
 // Workspace returns the workspace that a caller key belongs to.
 func (t *Table) Workspace(key string) (string, bool) {
 	w, ok := t.workspaces[key]
