callers, gateway, entry: connections of callers are bounded

Nothing bounded the connections of callers: with them descriptors, goroutines, held requests and memory for heads grew until the process had no descriptor for its backend servers, or no memory.

Idle connections make room for new ones; what finds no room is refused at once as not run. A dial that fails for want of descriptors is not blamed on the server. A stop closes connections without a request at once.

No row of docs/CAPACITY.md was run at its bound for minutes beside sound load.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -49,5 +49,13 @@
 // Refused reports whether a dial failed because nothing listens at the address.
 func (e *Error) Refused() bool { return e.Kind == KindDial && errors.Is(e.Err, syscall.ECONNREFUSED) }
 
+// LacksDescriptors reports whether a dial failed because this process or the system has no file descriptor left, which says nothing
+// about the backend server.
+func (e *Error) LacksDescriptors() bool { return e.Kind == KindDial && lacksDescriptors(e.Err) }
+
+func lacksDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // Sent reports whether the backend server may have received the request.
 func (e *Error) Sent() bool { return e.Kind != KindDial && e.Kind != KindUnsent }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -128,10 +128,11 @@
 	return errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
 }
 
-// Accepts reports whether a new connection to an address can be opened. It blocks until the connection is opened, which is then
-// closed again, or fails.
+// Accepts reports whether a new connection to an address can be opened, or could be if this process had a descriptor left. It
+// blocks until the connection is opened, which is then closed again, or fails.
 func (p *Pool) Accepts(ctx context.Context, address netip.AddrPort) bool {
-	return p.probe(ctx, address) == nil
+	err := p.probe(ctx, address)
+	return err == nil || lacksDescriptors(err)
 }
 
 func (p *Pool) probe(ctx context.Context, address netip.AddrPort) error {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -60,7 +60,7 @@
 			entry.WithLogger(instr.logs.Logger("entry")), entry.WithMetrics(instr.metrics.Slice("entry")),
 			entry.WithTracer(instr.traces.Provider()), entry.WithLinkOptions(p.linkOptions(config)...),
 			entry.WithSeeds(seeds), entry.WithPolicy(placementPolicies[policy]), entry.WithStopDelay(stopDelay),
-			entry.WithMemoryLimit(memoryLimit),
+			entry.WithMemoryLimit(memoryLimit), entry.WithDescriptorLimit(descriptorLimit()),
 		)
 		if err != nil {
 			return err
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -42,6 +42,7 @@
 		if settings.MemoryLimit > 0 {
 			debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
 		}
+		settings.DescriptorLimit = descriptorLimit()
 		p := processFlags{instance: settings.Instance, admin: admin, logLevels: logLevels, traces: traces, logOutput: os.Stdout}
 		instr, err := p.startInstrumentation(cmd.Context())
 		if err != nil {
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -7,11 +7,13 @@
 	"expvar"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -252,6 +254,16 @@
 	return c.Stop(ctx)
 }
 
+// descriptorLimit returns the number of file descriptors that the process may open, or zero if the system does not say. Go raises
+// the limit to the largest that the system allows before the command runs.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // addresses is a comma-separated list of addresses, parsed by UnmarshalText.
 type addresses []netip.AddrPort
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/body"
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/generation"
 	"berylward.example/berylward/internal/link"
@@ -43,6 +44,8 @@
 	maxHeader = 32 << 10
 	// idleTimeout closes a connection that has no requests.
 	idleTimeout = 2 * time.Minute
+	// excessRetry is the delay suggested to a caller whose connection is one too many. Other entries may have room.
+	excessRetry = 100 * time.Millisecond
 )
 
 // Options are the options of an entry that have no default.
@@ -72,6 +75,7 @@
 	dialer           link.Dialer
 	strictInvariants bool
 	memoryLimit      int64
+	descriptorLimit  int
 
 	// bodies holds the bodies of all requests.
 	bodies *body.Budget
@@ -81,6 +85,7 @@
 	exchange *generation.Exchange
 	platform *platformclient.Client
 	server   *http.Server
+	conns    *callers.Conns
 	tomb     tomb.Tomb
 	stopping atomic.Bool
 	// requestsEnded is canceled when running requests must end because the entry stops.
@@ -151,6 +156,10 @@
 // By default there is no limit.
 func WithMemoryLimit(bytes int64) Option { return func(e *Entry) { e.memoryLimit = bytes } }
 
+// WithDescriptorLimit sets the number of file descriptors that the process may open. It bounds the connections of callers; by default
+// only the memory limit does.
+func WithDescriptorLimit(n int) Option { return func(e *Entry) { e.descriptorLimit = n } }
+
 // Start starts an entry. It returns at once; Ready reports when callers can be served.
 func Start(o Options, opts ...Option) (*Entry, error) {
 	if o.Instance == "" || o.Zone == "" || o.Listener == nil {
@@ -182,6 +191,8 @@
 	e.server = &http.Server{
 		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
 	}
+	e.conns = callers.NewConns(callers.Limit(e.descriptorLimit, e.memoryLimit, maxHeader), e.metrics)
+	e.conns.Observe(e.server)
 	watcher := generation.NewWatcher(e.exchange, e.platform, e.clock, seed, e.isWatcher)
 	ctx := e.tomb.Context(context.Background())
 	e.requestsEnded, e.endRequests = context.WithCancel(ctx)
@@ -222,12 +233,16 @@
 		defer cancel()
 		waitCtx = bounded
 	}
-	if e.server.Shutdown(waitCtx) == nil {
-		return nil
+	callers.StopAccepting(e.server)
+	if e.conns.Await(waitCtx, e.clock) == 0 {
+		return e.server.Close()
 	}
 	e.log.Info("ending requests that are still running")
 	e.endRequests()
-	return e.server.Shutdown(ctx)
+	if e.conns.Await(ctx, e.clock) == 0 {
+		return e.server.Close()
+	}
+	return ctx.Err()
 }
 
 func (e *Entry) waitStopDelay(ctx context.Context) {
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/telemetry"
 	"berylward.example/berylward/pkg/answer"
 	"berylward.example/berylward/pkg/site"
@@ -110,6 +111,15 @@
 // authenticated is middleware that finds the workspace of the key in the Authorization header.
 func (e *Entry) authenticated(next callerHandler) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		switch e.conns.Check(r.Context()).(type) {
+		case callers.Excess:
+			w.Header().Set("Connection", "close")
+			failureOf(answer.NotRun{Reason: answer.ReasonOverloaded, RetryAfter: excessRetry}).write(w)
+			return nil
+		case callers.Closed:
+			return nil // what is written reaches nobody
+		case callers.Served:
+		}
 		e.awaitGeneration(r.Context())
 		snapshot := e.config.Snapshot()
 		if snapshot == nil {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/suspect"
 )
@@ -23,7 +24,9 @@
 	ActiveWorkspaces  int               `json:"active-workspaces"`
 	SuspectCount      int               `json:"suspects"`
 	SuspectList       []suspect.Summary `json:"suspect-list,omitempty"`
-	Workers           []WorkerStatus    `json:"workers"`
+	// CallerConnections are the connections that callers have open.
+	CallerConnections callers.Usage  `json:"caller-connections"`
+	Workers           []WorkerStatus `json:"workers"`
 }
 
 // WorkerStatus is the state of one worker that the entry has a peer for, as the entry knows it.
@@ -52,7 +55,7 @@
 	st := Status{
 		Role:     "entry",
 		Instance: e.Instance, Zone: e.Zone, Incarnation: e.incarnation.String(), Ready: reason == "", NotReady: reason,
-		Generation: e.exchange.CurrentNumber(), Workers: []WorkerStatus{},
+		Generation: e.exchange.CurrentNumber(), CallerConnections: e.conns.Usage(), Workers: []WorkerStatus{},
 	}
 	if r, ok := e.config.LastRefusal(); ok && len(r.Problems) > 0 {
 		st.RefusedGeneration = r.Problems[0].String()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"berylward.example/berylward/internal/backend"
 	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/bootclock"
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/peering"
 	"berylward.example/berylward/internal/roster"
@@ -76,6 +77,7 @@
 	incarnation        uint64
 	active             atomic.Int64
 	shutdown           *shutdown
+	conns              *callers.Conns
 
 	// mu guards the fields from currentTable to watch.
 	mu           sync.Mutex
@@ -144,6 +146,7 @@
 	}
 	g.requestBodies = body.NewBudget(int64(requestBodyShare * float64(s.MemoryLimit)))
 	g.responseBodies = body.NewBudget(int64(responseBodyShare * float64(s.MemoryLimit)))
+	g.conns = callers.NewConns(callers.Limit(s.DescriptorLimit, s.MemoryLimit, maxHeader), g.metrics.counters)
 	g.shutdown = newShutdown(g.tomb.Context(context.Background()))
 	if g.pool == nil {
 		g.pool = backend.NewPool(g.clock, nil)
@@ -160,7 +163,8 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", g.callers.Addr().String(), "seeds", len(s.Seeds))
+	g.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", g.callers.Addr().String(), "seeds", len(s.Seeds),
+		"connection-limit", g.conns.Usage().Limit)
 	g.serveCallers()
 	g.tomb.Go(g.followStore)
 	if g.peerConn != nil {
@@ -195,10 +199,11 @@
 }
 
 func (g *Gateway) serveCallers() {
-	callers := &http.Server{
+	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: newHTTPLog(g.log),
 	}
+	g.conns.Observe(callerServer)
 	router := bunrouter.New()
 	router.GET("/*path", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		if !g.Ready() {
@@ -207,7 +212,7 @@
 		return nil
 	})
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: newHTTPLog(g.log)}
-	g.servers = []*http.Server{callers, readiness}
+	g.servers = []*http.Server{callerServer, readiness}
 	for i, listener := range []net.Listener{g.callers, g.readiness} {
 		server := g.servers[i]
 		g.tomb.Go(func() error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,9 +64,12 @@
 	ready    *http.Client
 	callers  *standin.MemoryListener
 	version  int64
-	// retryReserve is the RetryReserve setting of the gateway.
-	retryReserve float64
-	sequence     atomic.Int64
+	// retryReserve is the RetryReserve setting of the gateway, descriptorLimit its DescriptorLimit.
+	retryReserve    float64
+	descriptorLimit int
+	// dialError is returned for each connection to a backend server, if it is set.
+	dialError error
+	sequence  atomic.Int64
 	// servers are the HTTP servers of the store and the backend servers, closed at the end of the test.
 	servers   []*http.Server
 	listeners map[netip.AddrPort]*standin.MemoryListener
@@ -122,7 +125,7 @@
 		})
 		g, err := gateway.Start(gateway.Settings{
 			Instance: "front-1", Zone: "el-centro", CallerAddress: callerAddress, ReadinessAddress: readyAddress, ShutdownTimeout: 8 * time.Second,
-			MemoryLimit:       memoryLimit,
+			MemoryLimit: memoryLimit, DescriptorLimit: h.descriptorLimit,
 			RevocationTimeout: 5 * time.Second, RetryShare: 0.2, RetryReserve: h.retryReserve, RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond,
 		}, platform.Protocol{}, store, append([]gateway.Option{
 			gateway.WithBootClock(h.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(h.dial),
@@ -222,6 +225,9 @@
 }
 
 func (h *harness) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if h.dialError != nil {
+		return nil, h.dialError
+	}
 	return h.listeners[address].DialContext(ctx, "tcp", "")
 }
 
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -38,6 +38,8 @@
 	MaxLease time.Duration
 	// MemoryLimit is the memory in bytes beyond which the platform kills the process; zero means that there is no limit.
 	MemoryLimit int64
+	// DescriptorLimit is the number of file descriptors that the process may open; zero means that it is not known.
+	DescriptorLimit int
 }
 
 // Update is one update from the store. It is a sealed interface: TableUpdate, ZoneUpdate, ServerUpdate, ServerRemoved
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -31,6 +31,12 @@
 	if !errors.As(err, &failure) {
 		failure = &backend.Error{Op: "exchange", Kind: backend.KindConnectionLost, Err: err}
 	}
+	if failure.LacksDescriptors() {
+		q.recordOutcome(a, dispatch.Abandoned{})
+		q.gateway.log.Info("no file descriptor left for a connection to a backend server", "request", q.req.ID, "error", failure.Err.Error())
+		q.giveUp("descriptors", retryAfterElsewhere)
+		return completed{}
+	}
 	if failure.Sent() {
 		q.runs = append(q.runs, run{server: a.server, answered: failure.Kind == backend.KindMalformed})
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/route"
 	"berylward.example/berylward/internal/suspect"
@@ -84,6 +85,14 @@
 		q.reject(Malformed, err)
 		return
 	}
+	switch g.conns.Check(ctx).(type) {
+	case callers.Excess:
+		q.refuseConnection()
+		return
+	case callers.Closed:
+		panic(http.ErrAbortHandler)
+	case callers.Served:
+	}
 	if !q.admit() {
 		return
 	}
@@ -234,6 +243,13 @@
 	q.gateway.protocol.WriteFailure(q.response, &q.req, NotRun{RetryAfter: retryAfter})
 }
 
+// refuseConnection ends a request that came on a connection too many.
+func (q *request) refuseConnection() {
+	q.gateway.log.Info("request refused: too many connections", "request", q.req.ID, "limit", q.gateway.conns.Usage().Limit)
+	q.response.Header().Set("Connection", "close")
+	q.refuse("connections", retryAfterElsewhere)
+}
+
 // leave ends a request whose caller has closed its connection, at least its own side of it.
 func (q *request) leave() {
 	q.outcome, q.cut = "caller-left", true
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylward.example/berylward/internal/body"
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/lengths"
 )
 
@@ -19,6 +20,8 @@
 	BackendServers int    `json:"backend-servers"`
 	Gateways       int    `json:"gateways"`
 	Connections    uint64 `json:"connections-opened"`
+	// CallerConnections are the connections that callers have open.
+	CallerConnections callers.Usage `json:"caller-connections"`
 	// ReportAges is by zone the age of the oldest report of another gateway, in milliseconds.
 	ReportAges map[string]int64 `json:"report-ages-ms,omitempty"`
 	// HeldHeavy is the number of heavy prompts that all gateways hold, HeldPrefill their prefill time on one engine in
@@ -43,7 +46,7 @@
 	s := Status{
 		Instance: g.Instance, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
-		RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
+		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/route"
 )
 
@@ -121,20 +121,17 @@
 	return times.end
 }
 
-// closeServers closes the listeners and idle connections, and the other connections once their answers are written or a time has
-// passed.
+// closeServers closes the listeners, and the connections of callers once they have received their answers or a time has passed.
 func (g *Gateway) closeServers(end time.Time) {
+	callers.StopAccepting(g.servers...)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()))
 	defer cancel()
-	var closing sync.WaitGroup
+	if n := g.conns.Await(ctx, g.clock); n > 0 {
+		g.log.Info("connections of callers closed before they had their answers", "connections", n)
+	}
 	for _, s := range g.servers {
-		closing.Go(func() {
-			if s.Shutdown(ctx) != nil {
-				_ = s.Close()
-			}
-		})
+		_ = s.Close()
 	}
-	closing.Wait()
 }
 
 // refusesWhileStopping reports whether a gateway that is shutting down refuses a new request because it might not end in time.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// Guards against a stop that waits for a connection on which no request was sent.
+func TestStopIgnoresUnusedConnections(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		began := time.Now()
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.gateway.Stop(h.test.Context()) }()
+		time.Sleep(3 * time.Second)
+		conn, err := h.callers.DialContext(h.test.Context(), "tcp", "")
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		assert.NilError(t, <-stopped)
+		assert.Assert(t, time.Since(began) < 4500*time.Millisecond, "%v", time.Since(began))
+	})
+}
+
 // Guards against an answer that is lost because its caller reads it late, and a request whose body arrives too slowly and
 // that gets no answer.
 func TestStopWaitsForSlowCallers(t *testing.T) {
