command: the status command shows gateways

On-call read the JSON of a gateway's status with curl. berylward status shows it as it shows entries and sidecars.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -18,7 +20,9 @@
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/entry"
+	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/sidecar"
 	"berylward.example/berylward/internal/suspect"
 )
@@ -37,8 +41,8 @@
 	output, watch, interval := "text", false, 2*time.Second
 	cmd := &cobra.Command{
 		Use:   "status",
-		Short: "Show the status of an entry or a sidecar",
-		Long: "Show the status of an entry or a sidecar, read from its admin listener (--admin-listen of the process).\n" +
+		Short: "Show the status of an entry, a sidecar or a gateway",
+		Long: "Show the status of an entry, a sidecar or a gateway, read from its admin listener (--admin-listen of the process).\n" +
 			"With --watch the status is read again at each interval until SIGINT or SIGTERM.",
 		Args: cobra.NoArgs,
 	}
@@ -133,8 +137,14 @@
 			return errors.Wrap(err, address.String())
 		}
 		return writeSidecar(w, st)
+	case "gateway":
+		var st gateway.Status
+		if err := json.Unmarshal(text, &st); err != nil {
+			return errors.Wrap(err, address.String())
+		}
+		return writeGateway(w, st)
 	}
-	return errors.Errorf("%s: the status is not that of an entry or a sidecar", address)
+	return errors.Errorf("%s: the status is not that of an entry, a sidecar or a gateway", address)
 }
 
 func readStatus(ctx context.Context, address netip.AddrPort) ([]byte, error) {
@@ -264,3 +274,56 @@
 	t.row("links", "%d: %s", len(st.Links), joinOrNone(st.Links))
 	return t.Flush()
 }
+
+func writeGateway(w io.Writer, st gateway.Status) error {
+	t := newTable(w)
+	t.row("gateway", "%s in %s", st.Instance, st.Zone)
+	switch {
+	case st.Stopping:
+		t.row("ready", "no: stopping, %d requests are running", st.Running)
+	case st.Ready:
+		t.row("ready", "yes, %d requests are running", st.Running)
+	default:
+		t.row("ready", "no: the routing table is missing or was not proven in time")
+	}
+	if st.TableVersion == 0 {
+		t.row("table", "none yet")
+	} else {
+		t.row("table", "version %d, proven %d ms ago", st.TableVersion, st.TableAge)
+	}
+	t.row("backend servers", "%d, %d of them get no requests", st.BackendServers, len(st.Unavailable))
+	for _, server := range st.Unavailable {
+		if server.ForMS > 0 {
+			t.row("", "%s of %s: %s for %d ms", server.ID, server.Service, server.Reason, server.ForMS)
+		} else {
+			t.row("", "%s of %s: %s", server.ID, server.Service, server.Reason)
+		}
+	}
+	t.row("gateways", "%d", st.Gateways)
+	for _, zone := range slices.Sorted(maps.Keys(st.ReportAges)) {
+		t.row("", "reports from %s: %d ms old at most", zone, st.ReportAges[zone])
+	}
+	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
+	t.row("held heavy prompts", "%d at all gateways, %d ms of prefill", st.HeldHeavy, st.HeldPrefill)
+	t.bodyRow("request bodies", st.RequestBodies)
+	t.bodyRow("response bodies", st.ResponseBodies)
+	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
+		t.row("quarantined request", "%s for %d ms", f, st.QuarantinedRequests[f])
+	}
+	for _, part := range slices.Sorted(maps.Keys(st.QuarantinedParts)) {
+		t.row("quarantined part", "%s for %d ms", part, st.QuarantinedParts[part])
+	}
+	return t.Flush()
+}
+
+func (t table) bodyRow(name string, u body.Usage) {
+	t.row(name, "%d bytes of %s, %d at most so far, %d refused", u.Used, limitOrNone(u.Limit), u.Peak, u.Refused)
+}
+
+// limitOrNone returns a limit as text; zero means that there is none.
+func limitOrNone(limit int64) string {
+	if limit == 0 {
+		return "any number"
+	}
+	return fmt.Sprint(limit)
+}
--- a/internal/command/status_test.go
+++ b/internal/command/status_test.go
@@ -13,7 +13,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"berylward.example/berylward/internal/body"
+	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/entry"
+	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/sidecar"
 	"berylward.example/berylward/internal/suspect"
 )
@@ -58,6 +61,27 @@
 				"hand-over not complete for generations 2; keys that may have moved are refused",
 			},
 		},
+		"gateway": {
+			write: func(w io.Writer) error {
+				return writeGateway(w, gateway.Status{
+					Instance: "front-1", Zone: "banos", Stopping: true, Running: 2, TableVersion: 7, TableAge: 1200, BackendServers: 24, Gateways: 6,
+					ReportAges: map[string]int64{"el-centro": 90, "banos": 40}, CallerConnections: callers.Usage{Limit: 1009, Open: 12, Peak: 240},
+					RequestBodies: body.Usage{Limit: 9000, Used: 100, Peak: 800, Refused: 1}, QuarantinedRequests: map[string]int64{"ab12": 600},
+					Unavailable: []gateway.UnavailableServer{{ID: "i-1", Service: "desk", Reason: "busy", ForMS: 300}, {ID: "i-2", Service: "desk", Reason: "leaving"}},
+				})
+			},
+			want: []string{
+				"gateway front-1 in banos", "ready no: stopping, 2 requests are running", "table version 7, proven 1200 ms ago",
+				"backend servers 24, 2 of them get no requests", "i-1 of desk: busy for 300 ms", "i-2 of desk: leaving",
+				"reports from banos: 40 ms old at most", "callers 12 connections of 1009, 240 at most so far",
+				"request bodies 100 bytes of 9000, 800 at most so far, 1 refused", "response bodies 0 bytes of any number, 0 at most so far, 0 refused",
+				"quarantined request ab12 for 600 ms",
+			},
+		},
+		"gateway without a table": {
+			write: func(w io.Writer) error { return writeGateway(w, gateway.Status{}) },
+			want:  []string{"ready no: the routing table is missing or was not proven in time", "table none yet"},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b bytes.Buffer
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -10,7 +10,9 @@
 
 // Status is the state of a gateway, as shown to operators.
 type Status struct {
+	Role     string `json:"role"`
 	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
 	Ready    bool   `json:"ready"`
 	Stopping bool   `json:"stopping"`
 	Running  int64  `json:"running"`
@@ -44,7 +46,7 @@
 // Status returns the current state of the gateway.
 func (g *Gateway) Status() Status {
 	s := Status{
-		Instance: g.Instance, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
+		Role: "gateway", Instance: g.Instance, Zone: g.Zone, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
 		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
