soak: floods, paused readers, signals in a row, stops in turn, and addresses for hundreds of gateways

The soak gains the faults of the surroundings: callers that flood a gateway with connections and heads, readers of logs that pause or go away, several signals at once, a second SIGTERM, all gateways stopped in turn. Addresses of its gateways depend on the process, so that runs beside each other do not meet, and suffice for some hundreds.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -10,6 +11,15 @@
 	"berylward.example/berylward/platform"
 )
 
+const (
+	// maxFaultGap limits the pause before the next fault, and maxFaultLength how long a fault lasts. Faults usually
+	// overlap.
+	maxFaultGap    = 900 * time.Millisecond
+	maxFaultLength = 2500 * time.Millisecond
+	// faultGrace is how long after its end an unplanned fault still excuses an interrupted response.
+	faultGrace = 4 * time.Second
+)
+
 // fault is one kind of fault. start injects it and returns the function that ends it. A planned fault, such as a drain,
 // does not excuse interrupted responses.
 type fault struct {
@@ -18,7 +28,7 @@
 	start   func(h *harness) (end func())
 }
 
-// faults are chosen with equal probability. Several may be active at once, also of the same kind.
+// faults are chosen with equal probability, together with surroundingFaults. Several may be active at once, also of the same kind.
 var faults = []fault{
 	{"gateway killed", false, func(h *harness) func() {
 		h.randomGateway().signal(syscall.SIGKILL)
@@ -131,15 +141,6 @@
 	}[h.random.IntN(4)]
 }
 
-const (
-	// maxFaultGap limits the pause before the next fault, and maxFaultLength how long a fault lasts. Faults usually
-	// overlap.
-	maxFaultGap    = 900 * time.Millisecond
-	maxFaultLength = 2500 * time.Millisecond
-	// faultGrace is how long after its end an unplanned fault still excuses an interrupted response.
-	faultGrace = 4 * time.Second
-)
-
 // injectFaults injects random faults until ctx ends, and then ends those that are still active.
 func (h *harness) injectFaults(ctx context.Context) {
 	type activeFault struct {
@@ -147,6 +148,7 @@
 		end   func()
 	}
 	var active []activeFault
+	all := slices.Concat(faults, surroundingFaults)
 	for ctx.Err() == nil {
 		now := h.clock.Now()
 		kept := active[:0]
@@ -158,7 +160,7 @@
 			}
 		}
 		active = kept
-		next := faults[h.random.IntN(len(faults))]
+		next := all[h.random.IntN(len(all))]
 		length := time.Duration(h.random.Int64N(int64(maxFaultLength)))
 		h.mu.Lock()
 		h.faultCounts[next.name]++
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -98,6 +98,43 @@
 	return h
 }
 
+// Guards against a gateway process that exceeds its memory limit because callers send heads without end, alone or beside large
+// bodies. It measures real memory, so it runs by hand, without the race detector.
+func TestMemoryOfHeads(t *testing.T) {
+	if !*measureMemory {
+		t.Skip("runs with -soak-memory")
+	}
+	cases := map[string]struct{ bodies int }{"alone": {0}, "beside large bodies": {120}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newMemoryHarness(t)
+			defer h.close()
+			for _, b := range h.backends[3:] {
+				b.SetFault(direct.Pauses{For: time.Second})
+			}
+			var calls sync.WaitGroup
+			for range tc.bodies {
+				calls.Go(func() { h.sendMany(t.Context(), "book", 5, 1<<20) })
+			}
+			var ends []func()
+			for range 3 {
+				ends = append(ends, h.flood(0, endlessHead))
+			}
+			time.Sleep(7 * time.Second) // longer than a head may take
+			for _, end := range ends {
+				end()
+			}
+			calls.Wait()
+			after := h.sendMany(t.Context(), "look", 1, 100)
+			var report Report
+			h.checkMemory(&report)
+			t.Logf("%d MiB of %d MiB", report.PeakMemory>>20, memoryLimit>>20)
+			assert.Check(t, after.response.Status == http.StatusOK, "status %d afterwards", after.response.Status)
+			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
+		})
+	}
+}
+
 // sendMany sends requests with bodies of a size one after another, and returns the last one.
 func (h *harness) sendMany(ctx context.Context, route string, times, size int) *sentRequest {
 	transport := &http.Transport{DisableCompression: true}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +20,7 @@
 	program  string
 	settings string
 	log      *os.File
+	reader   pausedReader
 	// nextClockOffset returns the clock offset for the next start of the process.
 	nextClockOffset func() time.Duration
 
@@ -65,7 +64,7 @@
 	}
 	p.command = command
 	p.tasks.Go(func() {
-		_, _ = io.Copy(p.log, bufio.NewReader(stdout))
+		p.reader.copy(p.log, stdout)
 		_ = command.Wait()
 		p.mu.Lock()
 		stopping := p.stopping
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -108,8 +108,10 @@
 	backendProxies []*Proxy // in the order of backends
 	gatewayProxies []*Proxy // in the order of gateways
 	gateways       []*gatewayProcess
-	servers        []*http.Server
-	addressCount   int
+	// callerAddresses are the addresses for callers, in the order of gateways.
+	callerAddresses []netip.AddrPort
+	servers         []*http.Server
+	addressCount    int
 
 	mu           sync.Mutex
 	tableVersion int64
@@ -144,14 +146,13 @@
 	return netip.AddrPortFrom(host, uint16(12000+h.addressCount))
 }
 
-// peeringPort is the port for datagrams between gateways. All gateways use the same port, as on the platform.
-const peeringPort = 11999
-
-// gatewayAddress returns a loopback address for a gateway. Each gateway has a host of its own, so that gateways tell each
-// other's datagrams from their own.
-func (h *harness) gatewayAddress(gateway int, port uint16) netip.AddrPort {
-	id := uint32(os.Getpid())
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(0x40 | gateway + 1), byte(id >> 8), byte(id)}), port)
+// peeringAddress returns the address of a gateway for datagrams. Each gateway has a host of its own, so that gateways tell each
+// other's datagrams from their own. All gateways of a run use the same port, as on the platform; host and port also depend on
+// the process ID, so that runs beside each other do not meet.
+func peeringAddress(gateway int) netip.AddrPort {
+	pid, number := os.Getpid(), gateway+1
+	host := netip.AddrFrom4([4]byte{127, byte(0x40 | number>>8&0x3f), byte(number), byte(1 + pid%254)})
+	return netip.AddrPortFrom(host, uint16(11000+pid/254%900))
 }
 
 // Run runs the soak with one seed.
@@ -202,7 +203,7 @@
 	var settings []platform.Settings
 	for i := range h.Gateways {
 		s := platform.Settings{Store: storeProxyAddress, Settings: gateway.Settings{
-			MemoryLimit: memoryLimit, Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: h.gatewayAddress(i, peeringPort),
+			MemoryLimit: memoryLimit, Instance: fmt.Sprintf("front-%d", i), Zone: zone(i), CallerAddress: h.newAddress(), ReadinessAddress: h.newAddress(), PeeringAddress: peeringAddress(i),
 			ShutdownTimeout: 8 * time.Second, RevocationTimeout: revocationDelay, RetryShare: 0.2, RetryReserve: 100,
 			RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond, MaxLease: 20 * time.Second,
 		}}
@@ -224,6 +225,7 @@
 			return err
 		}
 		h.gatewayProxies = append(h.gatewayProxies, gatewayProxy)
+		h.callerAddresses = append(h.callerAddresses, s.CallerAddress)
 	}
 	return nil
 }
