--- a/internal/booking/table.go
+++ b/internal/booking/table.go
@@ -21,6 +21,17 @@
 	Start time.Time
 }
 
+// entryOverhead is the approximate memory of an entry's map slot and struct in bytes, including allocator rounding.
+const entryOverhead = 256
+
+const (
+	// bytesPerKey is the memory reserved for each declared key: the entry overhead, a key of 128 bytes and an answer of
+	// 128 bytes. Longer answers fill the table before the declared number of keys is reached.
+	bytesPerKey = 512
+	// defaultMemoryLimit has room for 256 concurrent runs, each with the largest answer.
+	defaultMemoryLimit = 16 << 20
+)
+
 type options struct {
 	keyLifetime, clockSkew, ticketLife            time.Duration
 	memoryLimit, maxAnswer, chunkSize, maxEntries int
@@ -62,17 +73,6 @@
 	}
 }
 
-// entryOverhead is the approximate memory of an entry's map slot and struct in bytes, including allocator rounding.
-const entryOverhead = 256
-
-const (
-	// bytesPerKey is the memory reserved for each declared key: the entry overhead, a key of 128 bytes and an answer of
-	// 128 bytes. Longer answers fill the table before the declared number of keys is reached.
-	bytesPerKey = 512
-	// defaultMemoryLimit has room for 256 concurrent runs, each with the largest answer.
-	defaultMemoryLimit = 16 << 20
-)
-
 // retryInterval is the time between unanswered seal requests. It is also the retry delay in rejections of calls that
 // wait for an epoch or a seal.
 const retryInterval = 500 * time.Millisecond
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -234,6 +234,10 @@
 	p.unreported = max(time.Duration(unreportedShare*float64(otherZones-sameZone)), 0)
 }
 
+// idleConnectionShare is the share of a backend server's connection limit that all gateways together may use for idle
+// connections. The rest is for running requests, and for gateways that do not know of each other yet.
+const idleConnectionShare = 0.6
+
 // MaxIdleConnections returns how many idle connections this gateway may keep to a backend server that accepts
 // maxConnections from all callers together; zero means that the backend server states no limit.
 func (p *Planner) MaxIdleConnections(maxConnections int) int {
@@ -243,10 +247,6 @@
 	return int(idleConnectionShare * float64(maxConnections) / float64(p.gateways))
 }
 
-// idleConnectionShare is the share of a backend server's connection limit that all gateways together may use for idle
-// connections. The rest is for running requests, and for gateways that do not know of each other yet.
-const idleConnectionShare = 0.6
-
 // Loads returns the outstanding load of this gateway by backend server, and reports whether it has changed since the
 // last call. That a server which has left is avoided is not told: it would take the place of another load in a datagram.
 func (p *Planner) Loads(now time.Time) ([]Load, bool) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -40,6 +40,18 @@
 
 func (c *candidate) requests() int { return c.total.Short + c.total.Long }
 
+const (
+	// retryAfterNoServer applies to a service without backend servers.
+	retryAfterNoServer = 500 * time.Millisecond
+	// retryAfterLarge is the time in which engines may become free for a heavy prompt, or memory for a prompt larger
+	// than one engine's memory.
+	retryAfterLarge = 3500 * time.Millisecond
+	// retryAfterCold and retryAfterTried are the times after which a cold or a refusing backend server may accept a
+	// request.
+	retryAfterCold  = 300 * time.Millisecond
+	retryAfterTried = 200 * time.Millisecond
+)
+
 // Place decides where a request goes, given the backend servers in service and the IDs of those that have been tried.
 func (p *Planner) Place(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) Placement {
 	return limitToCompletion(now, profile, p.placeAnyTime(now, profile, servers, tried))
@@ -63,18 +75,6 @@
 	return p.placeLong(now, profile, candidates, len(servers))
 }
 
-const (
-	// retryAfterNoServer applies to a service without backend servers.
-	retryAfterNoServer = 500 * time.Millisecond
-	// retryAfterLarge is the time in which engines may become free for a heavy prompt, or memory for a prompt larger
-	// than one engine's memory.
-	retryAfterLarge = 3500 * time.Millisecond
-	// retryAfterCold and retryAfterTried are the times after which a cold or a refusing backend server may accept a
-	// request.
-	retryAfterCold  = 300 * time.Millisecond
-	retryAfterTried = 200 * time.Millisecond
-)
-
 // candidates returns the backend servers that may be chosen, and why others may not. Those to be avoided are included
 // only if there are no others.
 func (p *Planner) candidates(now time.Time, profile RequestProfile, servers []*roster.Server, tried []string) ([]candidate, excluded) {
@@ -146,6 +146,9 @@
 	return rank
 }
 
+// otherZoneCost is the cost of sending to another zone, as a share of a plain backend server's slots.
+const otherZoneCost = 0.12
+
 // placePlain chooses the backend server with the fewest requests per slot; one in another zone has an extra cost.
 func (p *Planner) placePlain(candidates []candidate) Placement {
 	best, bestCost := 0, 0.0
@@ -164,9 +167,6 @@
 	return Send{Server: candidates[best].server, Seen: candidates[best].total}
 }
 
-// otherZoneCost is the cost of sending to another zone, as a share of a plain backend server's slots.
-const otherZoneCost = 0.12
-
 // fits reports whether an engine has memory for a number of tokens.
 func fits(profile RequestProfile, c *candidate, tokens int64) bool {
 	return float64(c.total.Memory+tokens) <= plannedMemoryShare*float64(profile.Engine.KVCacheTokens)
--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -108,6 +108,13 @@
 	entry, worker int32
 }
 
+const (
+	// sparePairs keeps the probability low that an entry with a demand of one or two finds no worker with room.
+	sparePairs = 16
+	// likelyPairLevels is how many ceilings are tried with the likely pairs before all pairs are considered.
+	likelyPairLevels = 3
+)
+
 // rankedPairs returns the pairs in descending order of weight. With likelyOnly, it returns only the pairs that each
 // entry is most likely to get, about four times its demand plus sparePairs. Sorting all 480,000 pairs of the target
 // size would take a quarter of a second.
@@ -173,13 +180,6 @@
 	}
 }
 
-const (
-	// sparePairs keeps the probability low that an entry with a demand of one or two finds no worker with room.
-	sparePairs = 16
-	// likelyPairLevels is how many ceilings are tried with the likely pairs before all pairs are considered.
-	likelyPairLevels = 3
-)
-
 // computeSubset returns the sorted names of the workers to link to. Workers that take no new work do not count
 // towards the size or minWorkersPerModel, but a link that the entry would otherwise have stays for the work that
 // still runs on it.
--- a/internal/prompt/scheduler_test.go
+++ b/internal/prompt/scheduler_test.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -203,6 +204,30 @@
 	assert.DeepEqual(t, s.NextActions(wake), []Action{Resume{testID(1)}})
 }
 
+// TestSuspendSlack guards against a long prefill that is suspended so late that it must resume soon after: it needs twice the
+// slack at which it resumes.
+func TestSuspendSlack(t *testing.T) {
+	// 200,000 tokens at 7,500/s take 26.7 s, and 29.3 s with the margin of 10 %.
+	const need = 29_333 * time.Millisecond
+	cases := map[string]struct {
+		slack     time.Duration
+		suspended bool
+	}{
+		"below the slack of a resume": {900 * time.Millisecond, false},
+		"below twice that":            {1900 * time.Millisecond, false},
+		"above twice that":            {2100 * time.Millisecond, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newTestScheduler(WithSuspend(time.Second))
+			s.Offer(epoch, request(1, 200_000, 0, need+tc.slack))
+			s.Begin(epoch, testID(1))
+			s.Offer(epoch, request(2, 8_000, 0, 100*time.Second))
+			assert.Equal(t, slices.Contains(s.NextActions(epoch), Action(Suspend{testID(1)})), tc.suspended)
+		})
+	}
+}
+
 // TestRefusedRequestBlocksNothing guards against a request that was refused because the queue is full but still
 // counts as blocked, so that requests with a later prefill due time have to yield to it.
 func TestRefusedRequestBlocksNothing(t *testing.T) {
--- a/internal/standin/packets.go
+++ b/internal/standin/packets.go
@@ -18,6 +18,9 @@
 	cut   map[netip.AddrPort]bool
 }
 
+// packetQueue is how many datagrams wait at a connection that is not read.
+const packetQueue = 1024
+
 // NewPacketNetwork returns a network without connections.
 func NewPacketNetwork(latency time.Duration) *PacketNetwork {
 	return &PacketNetwork{latency: latency, conns: map[netip.AddrPort]*packetConn{}, cut: map[netip.AddrPort]bool{}}
@@ -52,9 +55,6 @@
 	}
 }
 
-// packetQueue is how many datagrams wait at a connection that is not read.
-const packetQueue = 1024
-
 type packet struct {
 	from netip.AddrPort
 	data []byte
