sidecar, link, engine: what a backend server sends without end does not take all memory

A booking service that answered without end took its sidecar to 1,570 MiB, where 216 may be used, with 60 bookings at once; the requests of all others at that server would end with the process.

Causes: the record of an ended request kept its answer (up to 8 MiB) and content for two minutes, also when it had failed. Parts of answers waited for the backend goroutine and for the link in queues bounded by number only. Reports of engines were read up to 64 MiB, lines of their streams up to 1 MiB, caches up to 64 MiB each and as many as were asked for.

Content of ended requests and answers of failed ones are dropped at once; complete answers make room for running requests, the oldest first, and an entry that resumes a dropped one is told broken-answer. 128 KiB of an answer at most wait between server and link: link.SendThen tells when a message has left. Reports are read up to 8 MiB, lines up to 256 KiB. An answer that cannot be held is broken-answer (502).

Conclusion: fixed with the setting; without it, only what is kept too long is.

--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// growthFactor is the memory that a slice takes, times its length, while it grows by append.
+const growthFactor = 2
+
+// ResizeFor is Resize for the memory of a slice that has grown to a length in bytes by append.
+func (r *Reservation) ResizeFor(length int) error { return r.Resize(growthFactor * int64(length)) }
+
 // Release gives all bytes back. The reservation may be used again.
 func (r *Reservation) Release() {
 	r.budget.add(-r.size, 0)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -39,9 +38,7 @@
 	s.require("listen")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		memoryLimit := int64(memoryMiB) << 20
-		if memoryLimit > 0 {
-			debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryLimit)))
-		}
+		limitMemory(memoryLimit)
 		config, err := p.peerTLS()
 		if err != nil {
 			return err
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,9 +13,6 @@
 	"berylward.example/berylward/platform"
 )
 
-// memoryLimitShare is the fraction of the instance's memory that is set as the memory limit of the Go runtime.
-const memoryLimitShare = 0.7
-
 func newGateway() *cobra.Command {
 	var file, logLevels, traces string
 	var admin netip.AddrPort
@@ -39,9 +35,7 @@
 		if err != nil {
 			return err
 		}
-		if settings.MemoryLimit > 0 {
-			debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
-		}
+		limitMemory(settings.MemoryLimit)
 		settings.DescriptorLimit = descriptorLimit()
 		p := processFlags{instance: settings.Instance, admin: admin, logLevels: logLevels, traces: traces, logOutput: os.Stdout}
 		instr, err := p.startInstrumentation(cmd.Context())
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -254,6 +255,17 @@
 	return c.Stop(ctx)
 }
 
+// memoryLimitShare is the share of the memory that a process may use at which the Go runtime begins to collect garbage more often.
+const memoryLimitShare = 0.7
+
+// limitMemory sets the memory limit of the Go runtime for a process that may use a number of bytes; zero means that there is no
+// limit.
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(bytes)))
+	}
+}
+
 // descriptorLimit returns the number of file descriptors that the process may open, or zero if the system does not say. Go raises
 // the limit to the largest that the system allows before the command runs.
 func descriptorLimit() int {
--- a/internal/command/sidecar.go
+++ b/internal/command/sidecar.go
@@ -15,6 +15,7 @@
 	p := processFlags{acceptsLinks: true}
 	var backend netip.AddrPort
 	var service, ticketKeyFile, models string
+	memoryMiB := 0
 	cmd := &cobra.Command{
 		Use:   "sidecar",
 		Short: "Run a sidecar: the process beside one backend server",
@@ -27,9 +28,12 @@
 	s.stringVar(&service, "service", "the name of a declared service", "plain service that the backend server provides; empty for a model engine")
 	s.stringVar(&models, "models", "names separated by commas", "models that the engine serves; when empty, models are assigned by the declared number of workers")
 	s.stringVar(&ticketKeyFile, "ticket-key-file", "a file", "file with the key that authenticates tickets, shared by all sidecars of a service")
+	s.intVar(&memoryMiB, "memory-limit", "memory in MiB that the process may use; requests whose content or answer finds no memory are refused or fail; no limit when zero")
 	s.require("listen")
 	s.require("backend")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		memoryLimit := int64(memoryMiB) << 20
+		limitMemory(memoryLimit)
 		config, err := p.peerTLS()
 		if err != nil {
 			return err
@@ -56,6 +60,7 @@
 			},
 			sidecar.WithLogger(instr.logs.Logger("sidecar")), sidecar.WithMetrics(instr.metrics.Slice("sidecar")),
 			sidecar.WithTracer(instr.traces.Provider()), sidecar.WithLinkOptions(p.linkOptions(config)...), sidecar.WithTicketKey(ticketKey),
+			sidecar.WithMemoryLimit(memoryLimit),
 		)
 		if err != nil {
 			return err
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -272,6 +272,9 @@
 		}
 	}
 	t.row("links", "%d: %s", len(st.Links), joinOrNone(st.Links))
+	t.bodyRow("requests", st.RequestBodies)
+	t.bodyRow("answers", st.AnswerBodies)
+	t.bodyRow("caches", st.CacheBodies)
 	return t.Flush()
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,10 +20,16 @@
 
 	"github.com/go-faster/errors"
 	"k8s.io/utils/clock"
+
+	"berylward.example/berylward/internal/body"
 )
 
-// maxResponseBody is the maximum size of a JSON response in bytes. The largest responses are exported caches.
-const maxResponseBody = 64 << 20
+const (
+	// maxReport is the maximum size of a JSON response in bytes, other than an exported cache.
+	maxReport = 8 << 20
+	// MaxCache is the maximum size of an exported cache in bytes, in JSON.
+	MaxCache = 64 << 20
+)
 
 // maxProblemTime bounds the reading of the body of a refusal, which is already decided.
 const maxProblemTime = time.Second
@@ -150,14 +156,14 @@
 // sendJSON sends a JSON request to the engine on a connection of its own and returns the response if its status is 2xx.
 func (c *Client) sendJSON(ctx context.Context, method, path string, in any) (*http.Response, error) {
 	op := method + " " + path
-	var body []byte
+	var text []byte
 	if in != nil {
 		var err error
-		if body, err = json.Marshal(in); err != nil {
+		if text, err = json.Marshal(in); err != nil {
 			return nil, &Error{Op: op, Kind: KindNotSent, Err: errors.Wrap(err, "encode request")}
 		}
 	}
-	resp, err := c.send(ctx, c.unshared, method, path, http.Header{"Content-Type": {"application/json"}}, body)
+	resp, err := c.send(ctx, c.unshared, method, path, http.Header{"Content-Type": {"application/json"}}, text)
 	if err != nil {
 		return nil, err
 	}
@@ -175,6 +181,12 @@
 
 // callJSON sends a JSON request and decodes the JSON response into out, which may be nil.
 func (c *Client) callJSON(ctx context.Context, method, path string, in, out any) error {
+	buffer := body.NewBudget(0).NewBuffer()
+	return c.callJSONWithin(ctx, method, path, in, out, buffer, maxReport)
+}
+
+// callJSONWithin is callJSON with a buffer for the response and its maximum size in bytes.
+func (c *Client) callJSONWithin(ctx context.Context, method, path string, in, out any, buffer *body.Buffer, limit int64) error {
 	resp, err := c.sendJSON(ctx, method, path, in)
 	if err != nil {
 		return err
@@ -184,14 +196,14 @@
 		return nil
 	}
 	op := method + " " + path
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
-	if err != nil {
+	if err := buffer.Read(resp.Body, resp.ContentLength, limit); err != nil {
+		var tooLarge *body.Error
+		if errors.As(err, &tooLarge) {
+			return &Error{Op: op, Kind: KindMalformed, Status: resp.StatusCode, Err: err}
+		}
 		return transportError(op, true, err)
 	}
-	if len(body) > maxResponseBody {
-		return &Error{Op: op, Kind: KindMalformed, Status: resp.StatusCode, Err: errors.New("response body too large")}
-	}
-	if err := json.Unmarshal(body, out); err != nil {
+	if err := json.Unmarshal(buffer.Bytes(), out); err != nil {
 		return &Error{Op: op, Kind: KindMalformed, Status: resp.StatusCode, Err: err}
 	}
 	return nil
@@ -245,10 +257,11 @@
 	return events, err
 }
 
-// ExportCache returns the KV cache of the prompt of a prefilled stream.
-func (c *Client) ExportCache(ctx context.Context, export ExportRequest) (ExportedCache, error) {
+// ExportCache returns the KV cache of the prompt of a prefilled stream. The buffer holds the response, so that its budget bounds
+// the caches that are exported at a time; the caller releases it when the cache is not needed any more.
+func (c *Client) ExportCache(ctx context.Context, export ExportRequest, buffer *body.Buffer) (ExportedCache, error) {
 	var cache ExportedCache
-	err := c.callJSON(ctx, http.MethodPost, "/v1/cache/export", export, &cache)
+	err := c.callJSONWithin(ctx, http.MethodPost, "/v1/cache/export", export, &cache, buffer, MaxCache)
 	return cache, err
 }
 
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/engine"
 	"berylward.example/berylward/internal/standin"
 )
@@ -75,3 +79,46 @@
 		})
 	}
 }
+
+// Guards against reports and caches that take memory without a bound, because an engine sends them without end.
+func TestEndlessResponses(t *testing.T) {
+	const mib, report, cache = 1 << 20, 8 << 20, 64 << 20
+	cases := map[string]struct {
+		call  func(context.Context, *engine.Client) error
+		limit int64 // of the response in bytes
+	}{
+		"load":    {func(ctx context.Context, c *engine.Client) error { _, err := c.Load(ctx); return err }, report},
+		"streams": {func(ctx context.Context, c *engine.Client) error { _, err := c.Streams(ctx); return err }, report},
+		"cache": {func(ctx context.Context, c *engine.Client) error {
+			_, err := c.ExportCache(ctx, engine.ExportRequest{}, body.NewBudget(0).NewBuffer())
+			return err
+		}, cache},
+		"cache beyond its budget": {func(ctx context.Context, c *engine.Client) error {
+			_, err := c.ExportCache(ctx, engine.ExportRequest{}, body.NewBudget(4*mib).NewBuffer())
+			return err
+		}, 4 * mib},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				part := bytes.Repeat([]byte(" "), 32<<10)
+				for {
+					n, err := w.Write(part)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}))
+			defer server.Close()
+			client := engine.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+			err := tc.call(t.Context(), client)
+			client.Close()
+			var failure *engine.Error
+			assert.Assert(t, errors.As(err, &failure) && failure.Kind == engine.KindMalformed, "%v", err)
+			// What the sockets hold comes on top.
+			assert.Assert(t, sent.Load() <= tc.limit+16*mib, "%d bytes", sent.Load())
+		})
+	}
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -15,7 +15,7 @@
 )
 
 // maxLineSize is the maximum size of one NDJSON line of a stream in bytes.
-const maxLineSize = 1 << 20
+const maxLineSize = 256 << 10
 
 // RunStream starts a stream and calls fn for each piece until the stream ends. It returns the
 // usage from the last line. If fn fails, RunStream returns its error wrapped in an Error of KindMayHaveRun; the stream is not cancelled.
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -7,14 +7,6 @@
 	"berylward.example/berylward/pkg/answer"
 )
 
-// growthFactor is the memory that a buffer takes, times its length, while it grows.
-const growthFactor = 2
-
-// holdAnswer reserves the memory for an answer of size bytes. It returns a body.Error if there is none.
-func holdAnswer(held *body.Reservation, size int) error {
-	return held.Resize(growthFactor * int64(size))
-}
-
 // notHeld reports whether an answer could not be delivered because this process could not hold it.
 func notHeld(err error) bool {
 	var limit *body.Error
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -151,7 +151,7 @@
 	if !s.out.stream {
 		copies = 2 // one for a later attempt, one for the response
 	}
-	if err := holdAnswer(s.held, copies*(len(s.work.delivered)+len(data))); err != nil {
+	if err := s.held.ResizeFor(copies * (len(s.work.delivered) + len(data))); err != nil {
 		return err
 	}
 	s.work.delivered = append(s.work.delivered, data...)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -146,7 +146,7 @@
 	if len(s.body)+len(data) > maxServiceAnswer {
 		return &Error{Op: "deliver", Kind: KindRequest, Err: http.ErrContentLength}
 	}
-	if err := holdAnswer(s.held, len(s.body)+len(data)); err != nil {
+	if err := s.held.ResizeFor(len(s.body) + len(data)); err != nil {
 		return err
 	}
 	s.body = append(s.body, data...)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -208,6 +208,36 @@
 	return nil
 }
 
+// SendThen is Send with a function that is called once, when the message has been written or will not be written any more. The
+// function must not block. It is called before SendThen returns an error.
+func (c *Conn) SendThen(m Message, done func()) error {
+	err := c.Send(&trackedMessage{Message: m, done: done})
+	if err != nil {
+		done()
+		return err
+	}
+	if !c.tomb.Alive() {
+		// The write goroutine may have dropped its queue before the message was put there.
+		dropQueued(c.out.Take())
+	}
+	return nil
+}
+
+// trackedMessage is a message whose sender is told when it has left the queue.
+type trackedMessage struct {
+	Message
+	done func()
+}
+
+// dropQueued ends messages that will not be written.
+func dropQueued(queued []Message) {
+	for _, m := range queued {
+		if tracked, ok := m.(*trackedMessage); ok {
+			tracked.done()
+		}
+	}
+}
+
 // SendHeartbeat sends a heartbeat at once instead of at the next interval, if its content has changed. It never blocks.
 func (c *Conn) SendHeartbeat() {
 	select {
@@ -286,6 +316,7 @@
 			c.tomb.Kill(err)
 		}
 		_ = c.socket.CloseNow()
+		dropQueued(c.out.Take())
 	}()
 	ctx := c.tomb.Context(context.Background())
 	ticker := c.clock.NewTicker(c.heartbeatInterval)
@@ -303,14 +334,8 @@
 			if c.clock.Now().Sub(lastActive) > c.silenceLimit {
 				return &Error{Op: "write", Kind: KindPaused}
 			}
-			for _, m := range c.out.Take() {
-				if marker, ok := m.(*flushMarker); ok {
-					close(marker.written)
-					continue
-				}
-				if err := c.writeMessage(ctx, m); err != nil {
-					return err
-				}
+			if err := c.writeQueued(ctx, c.out.Take()); err != nil {
+				return err
 			}
 			// The time taken to write a long queue does not count as a pause of the process.
 			lastActive = c.clock.Now()
@@ -348,6 +373,27 @@
 	}
 }
 
+// writeQueued writes messages from the queue.
+func (c *Conn) writeQueued(ctx context.Context, queued []Message) error {
+	for n, m := range queued {
+		var err error
+		switch m := m.(type) {
+		case *flushMarker:
+			close(m.written)
+		case *trackedMessage:
+			err = c.writeMessage(ctx, m.Message)
+			m.done()
+		default:
+			err = c.writeMessage(ctx, m)
+		}
+		if err != nil {
+			dropQueued(queued[n+1:])
+			return err
+		}
+	}
+	return nil
+}
+
 // heartbeatState is the write goroutine's record of the heartbeats that it sent.
 type heartbeatState struct {
 	lastSent Heartbeat
--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/coder/websocket"
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 	clocktesting "k8s.io/utils/clock/testing"
 )
 
@@ -337,3 +339,39 @@
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a sender that waits for ever for its message to leave the queue, or that takes another one's place twice.
+func TestSendThen(t *testing.T) {
+	const messages = 20
+	cases := map[string]func(c *Conn, silence func()){
+		"written":     func(*Conn, func()) {},
+		"silent peer": func(_ *Conn, silence func()) { silence() },
+		"closed while they wait": func(c *Conn, silence func()) {
+			silence()
+			time.AfterFunc(100*time.Millisecond, func() { _ = c.Close() })
+		},
+		"closed before":            func(c *Conn, _ func()) { _ = c.Close() },
+		"closed at the same time":  func(c *Conn, _ func()) { go func() { _ = c.Close() }() },
+		"ended by an invalid send": func(c *Conn, _ func()) { _ = c.Send(&Piece{Data: make([]byte, MaxFrameSize+1)}) },
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				withServer(t, acceptAndDiscard, func(dial func(...Option) (*Conn, error), silence func()) {
+					c, err := dial()
+					assert.NilError(t, err)
+					prepare(c, silence)
+					var done [messages]atomic.Int64
+					for i := range messages {
+						_ = c.SendThen(&Piece{Data: make([]byte, 1000)}, func() { done[i].Add(1) })
+					}
+					time.Sleep(10 * time.Second)
+					for i := range messages {
+						assert.Check(t, is.Equal(done[i].Load(), int64(1)), "message %d", i)
+					}
+					_ = c.Close()
+				})
+			})
+		})
+	}
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -12,7 +12,7 @@
 const ProtocolVersion = 1
 
 // Message is a message between two processes. It is a sealed interface, implemented only by the types in messages.go,
-// control.go and group.go and by the internal flushMarker.
+// control.go and group.go and by the internal flushMarker and trackedMessage.
 type Message interface{ message() }
 
 // ID is the wire form of answer.ID.
--- a/internal/scenario/scripts_commands_test.go
+++ b/internal/scenario/scripts_commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -117,6 +118,51 @@
 	return checkOutcome(r, s.send(args[0], r), args[3])
 }
 
+// flood ENTRY N OUTCOME sends N bookings at once and checks the outcome of each.
+func (s *script) flood(args []string) error {
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	failures := make(chan error, n)
+	var calls sync.WaitGroup
+	for i := range n {
+		calls.Go(func() {
+			r := request{booking: fmt.Sprintf(`{"room":%d}`, i), timeout: 30 * time.Second}
+			if res := s.send(args[0], r); res.outcome != args[2] {
+				failures <- fmt.Errorf("%s: want outcome %q, got %s", r.name(), args[2], res)
+			}
+		})
+	}
+	calls.Wait()
+	close(failures)
+	return <-failures
+}
+
+var measureMemory = flag.Bool("scenario-memory", false, "check the memory of processes in scripts, without the race detector")
+
+// memory NAME MIB checks the largest resident memory of a process so far. It measures real memory, so it checks by hand only.
+func (s *script) memory(args []string) error {
+	limit, err := strconv.Atoi(args[1])
+	if err != nil || !*measureMemory {
+		return err
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.processes[args[0]].cmd.Process.Pid))
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(status)) {
+		var kib int
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kib); n == 1 {
+			s.testScript.Logf("%s took %d MiB of %d MiB", args[0], kib>>10, limit)
+			if kib>>10 > limit {
+				return fmt.Errorf("%s took %d MiB, its limit is %d MiB", args[0], kib>>10, limit)
+			}
+		}
+	}
+	return nil
+}
+
 // begin ENTRY PROMPT TOKENS sends a prompt and waits until it runs on an engine. finish collects the result.
 func (s *script) begin(args []string) error {
 	r, err := parsePrompt(args[1:])
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -346,7 +346,7 @@
 		switch {
 		case s.ended && !s.cancelPending && now.Sub(s.endedAt) > endedRetention:
 			b.recordPurge(id)
-			delete(b.streams, id)
+			b.forget(s)
 		case !s.ended && s.conn == nil && now.Sub(s.detachedAt) > orphanTimeout && !s.mustComplete():
 			b.metrics.Add("orphan-requests", 1)
 			b.cancelRequest(now, nil, id)
--- a/internal/sidecar/cache_transfer.go
+++ b/internal/sidecar/cache_transfer.go
@@ -3,20 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/go-faster/errors"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/engine"
 	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/pkg/answer"
 )
 
-// maxCacheBytes bounds the encoded cache of one segment. The engine client has the same limit.
-const maxCacheBytes = 64 << 20
-
 // handleCache serves the cache of a segment to the sidecar of a later member. The engine exports the cache again for
 // each reader, so that this process keeps no copy.
 func (s *Sidecar) handleCache(w http.ResponseWriter, r *http.Request) {
@@ -38,7 +35,9 @@
 		http.Error(w, "the token is not valid", http.StatusForbidden)
 		return
 	}
-	cache, err := s.client.ExportCache(r.Context(), engine.ExportRequest{ID: id})
+	buffer := s.budgets.caches.NewBuffer()
+	defer buffer.Release()
+	cache, err := s.client.ExportCache(r.Context(), engine.ExportRequest{ID: id}, buffer)
 	if err != nil {
 		s.metrics.Add("cache-exports-failed", 1)
 		s.log.Info("cannot export cache", "id", id, "error", err.Error())
@@ -53,8 +52,10 @@
 // importCaches fetches the cache of each source and imports it into the engine, in the order of the prompt.
 func (s *Sidecar) importCaches(ctx context.Context, id answer.ID, sources []link.CacheSource) cachesImported {
 	imports := cachesImported{id: id}
+	buffer := s.budgets.caches.NewBuffer()
+	defer buffer.Release()
 	for n, source := range sources {
-		cache, err := s.fetchCache(ctx, source)
+		cache, err := s.fetchCache(ctx, source, buffer)
 		if err != nil {
 			return cachesImported{id: id, failedSource: n + 1, err: err}
 		}
@@ -62,6 +63,7 @@
 		if err != nil {
 			return cachesImported{id: id, err: err}
 		}
+		buffer.Release()
 		imports.handles = append(imports.handles, imported.Handle)
 		imports.coveredTokens += cache.End - cache.Start
 		imports.heldTokens += imported.Tokens
@@ -69,14 +71,18 @@
 	return imports
 }
 
-func (s *Sidecar) fetchCache(ctx context.Context, source link.CacheSource) (engine.ExportedCache, error) {
-	body, err := link.FetchCache(ctx, source, s.linkOptions...)
+// fetchCache fetches a cache from another sidecar. The buffer holds what was received.
+func (s *Sidecar) fetchCache(ctx context.Context, source link.CacheSource, buffer *body.Buffer) (engine.ExportedCache, error) {
+	response, err := link.FetchCache(ctx, source, s.linkOptions...)
 	if err != nil {
 		return engine.ExportedCache{}, err
 	}
-	defer func() { _ = body.Close() }()
+	defer func() { _ = response.Close() }()
+	if err := buffer.Read(response, -1, engine.MaxCache); err != nil {
+		return engine.ExportedCache{}, errors.Wrap(err, "read cache")
+	}
 	var cache engine.ExportedCache
-	if err := json.NewDecoder(io.LimitReader(body, maxCacheBytes)).Decode(&cache); err != nil {
+	if err := json.Unmarshal(buffer.Bytes(), &cache); err != nil {
 		return engine.ExportedCache{}, errors.Wrap(err, "decode cache")
 	}
 	return cache, nil
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -42,6 +42,7 @@
 	offset int64
 	data   []byte
 	tokens int64
+	window window
 }
 
 // streamEnd is the end of a backend call. A nil err means that the answer is complete.
--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -239,7 +239,12 @@
 		offer.Prompt.MaxTokens = segmentGenerateTokens
 	}
 	s := newStream(offer, conn, now)
+	if !b.holdRequest(s) {
+		b.dropMember(now, m, answer.ReasonOverloaded)
+		return
+	}
 	if !b.suspects.TryStart(now, b.Instance, s.fingerprint) {
+		s.releaseRequest()
 		b.dropMember(now, m, answer.ReasonOverloaded)
 		return
 	}
--- a/internal/sidecar/offers.go
+++ b/internal/sidecar/offers.go
@@ -55,11 +55,18 @@
 		refuse(answer.ReasonQuarantined, q.Until.Sub(now))
 		return
 	}
+	if !b.holdRequest(s) {
+		refuse(answer.ReasonOverloaded, housekeepingInterval)
+		return
+	}
 	if m.Call != nil && (m.Call.Key != "" || m.Call.Ticket != "") {
 		b.offerKeyedCall(now, s)
-		return
+	} else {
+		b.admit(now, s)
+	}
+	if b.streams[id] != s {
+		s.releaseRequest()
 	}
-	b.admit(now, s)
 }
 
 // checkAdmission reports whether new work may be admitted at all and, if not, why and when to retry.
@@ -186,7 +193,7 @@
 // endNotRun ends a request that did not run.
 func (b *backend) endNotRun(now time.Time, s *stream, reason answer.Reason) {
 	b.refuse(s.conn, s.wireID, reason, 0)
-	delete(b.streams, s.id)
+	b.forget(s)
 	b.control.planDue = true
 	if s.tableKey != "" {
 		b.keyTable.NeverRan(s.tableKey)
@@ -194,7 +201,7 @@
 			if r := b.streams[w.id.AnswerID()]; r != nil && !r.ended {
 				// The tombstone proves to an entry that resumes later that this attempt did not run.
 				b.scheduler.Cancel(now, r.id)
-				delete(b.streams, r.id)
+				b.forget(r)
 				b.refuse(r.conn, r.wireID, reason, 0)
 			}
 		})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -90,6 +90,8 @@
 	linkOptions      []link.Option
 	ticketKey        []byte
 	strictInvariants bool
+	memoryLimit      int64
+	budgets          budgets
 	schedulerOptions []prompt.Option
 	// suppressFailureReports keeps failures of the backend server from being reported over the links.
 	suppressFailureReports bool
@@ -141,6 +143,10 @@
 // sidecar issues no tickets.
 func WithTicketKey(key []byte) Option { return func(s *Sidecar) { s.ticketKey = key } }
 
+// WithMemoryLimit sets the memory in bytes that the process may use. Requests for which there is no memory are refused, and
+// requests whose answers find none fail. By default there is no limit.
+func WithMemoryLimit(bytes int64) Option { return func(s *Sidecar) { s.memoryLimit = bytes } }
+
 // WithStrictInvariants makes a violated invariant panic in addition to being counted. It is meant for tests.
 func WithStrictInvariants() Option { return func(s *Sidecar) { s.strictInvariants = true } }
 
@@ -172,7 +178,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.startedAt = s.clock.Now()
+	s.startedAt, s.budgets = s.clock.Now(), newBudgets(s.memoryLimit)
 	s.exchange = generation.NewExchange(s.config, s.log, s.metrics, s.clock)
 	engineOptions, platformOptions := []engine.Option{engine.WithClock(s.clock)}, []platformclient.Option(nil)
 	if s.dial != nil {
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/suspect"
 	"berylward.example/berylward/internal/worker"
 )
@@ -39,6 +40,10 @@
 	Suspects          int               `json:"suspects"`
 	SuspectList       []suspect.Summary `json:"suspect-list,omitempty"`
 	Quarantine        string            `json:"quarantine"`
+	// RequestBodies, AnswerBodies and CacheBodies are the memory that the bodies of requests, answers and caches take.
+	RequestBodies body.Usage `json:"request-bodies"`
+	AnswerBodies  body.Usage `json:"answer-bodies"`
+	CacheBodies   body.Usage `json:"cache-bodies"`
 }
 
 // WindowSize has the fields of worker.Limits, with JSON names.
@@ -77,7 +82,8 @@
 		Instance: b.Instance, Zone: b.Zone, Incarnation: b.incarnation.String(), Uptime: now.Sub(b.startedAt).Round(time.Second).String(),
 		Generation: b.exchange.CurrentNumber(), Service: b.Service, Phase: m.Phase, Models: m.Models,
 		Queued: m.Queued, Running: m.Running, SuspectList: b.suspects.List(now),
-		Quarantine: b.suspects.Quarantine().String(),
+		Quarantine: b.suspects.Quarantine().String(), RequestBodies: b.budgets.requests.Usage(), AnswerBodies: b.budgets.answers.Usage(),
+		CacheBodies: b.budgets.caches.Usage(),
 	}
 	st.Suspects = len(st.SuspectList)
 	if r, ok := b.config.LastRefusal(); ok && len(r.Problems) > 0 {
--- a/internal/sidecar/streams.go
+++ b/internal/sidecar/streams.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/engine"
 	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/internal/prompt"
@@ -70,9 +71,13 @@
 	reattachments  int
 	cancel         context.CancelFunc
 
-	status      int
-	header      map[string][]string
-	buffer      []byte
+	status int
+	header map[string][]string
+	buffer []byte
+	// heldRequest and heldAnswer are the memory of the request's content and of buffer. heldAnswer is nil while buffer takes none
+	// of its own.
+	heldRequest, heldAnswer *body.Reservation
+
 	tokens      int64
 	ended       bool
 	endedAt     time.Time
@@ -123,7 +128,7 @@
 	}
 	s.sendFrom(offset)
 	if s.ended {
-		s.send(s.lastMessage)
+		s.send(s.lastMessageFrom(offset))
 	}
 }
 
@@ -156,7 +161,7 @@
 // backendCall returns the function that calls the backend server for a stream. The function does not access the
 // stream, which the backend goroutine owns.
 func (b *backend) backendCall(s *stream) func(context.Context) (answer.Usage, error) {
-	id := s.id
+	id, w := s.id, newWindow()
 	if c := s.offer.Call; c != nil {
 		header := map[string][]string{}
 		for name, values := range c.Header {
@@ -165,39 +170,43 @@
 		if c.Key != "" {
 			header["Idempotency-Key"] = []string{c.Key}
 		}
+		content := c.Body
 		return func(ctx context.Context) (answer.Usage, error) {
-			return answer.Usage{}, b.client.Call(ctx, c.Method, c.Path, header, c.Body, func(p engine.ResponsePart) error {
-				return b.postEvent(b.partEvent(id, p))
+			return answer.Usage{}, b.client.Call(ctx, c.Method, c.Path, header, content, func(p engine.ResponsePart) error {
+				return b.postPart(ctx, id, w, p)
 			})
 		}
 	}
 	p := s.offer.Prompt
 	base := int64(len(p.Delivered))
-	body := engine.Stream{
+	request := engine.Stream{
 		ID: id.String(), Model: p.Model, Adapter: p.Adapter, Prompt: p.Text, AnswerStart: p.Delivered,
 		MaxTokens: p.MaxTokens, Priority: s.enginePriority, Parameters: p.Parameters,
 	}
 	if s.member != nil {
-		body.Imports = s.member.importHandles
+		request.Imports = s.member.importHandles
 	}
-	emit := func(piece engine.Piece) error {
-		return b.postEvent(streamData{id: id, offset: piece.Offset - base, data: []byte(piece.Text), tokens: piece.Tokens})
+	emit := func(ctx context.Context) func(engine.Piece) error {
+		return func(piece engine.Piece) error {
+			return b.postData(ctx, streamData{id: id, offset: piece.Offset - base, data: []byte(piece.Text), tokens: piece.Tokens, window: w})
+		}
 	}
 	if s.reattachments > 0 {
 		from := base + int64(len(s.buffer))
 		return func(ctx context.Context) (answer.Usage, error) {
-			return b.client.AttachStream(ctx, id.String(), from, emit)
+			return b.client.AttachStream(ctx, id.String(), from, emit(ctx))
 		}
 	}
-	return func(ctx context.Context) (answer.Usage, error) { return b.client.RunStream(ctx, body, emit) }
+	return func(ctx context.Context) (answer.Usage, error) { return b.client.RunStream(ctx, request, emit(ctx)) }
 }
 
-func (b *backend) partEvent(id answer.ID, p engine.ResponsePart) event {
+// postPart passes a part of a plain service's response to the backend goroutine.
+func (b *backend) postPart(ctx context.Context, id answer.ID, w window, p engine.ResponsePart) error {
 	switch p := p.(type) {
 	case engine.ResponseHead:
-		return streamHead{id: id, status: p.Status, header: p.Header}
+		return b.postEvent(streamHead{id: id, status: p.Status, header: p.Header})
 	case engine.BodyChunk:
-		return streamData{id: id, offset: p.Offset, data: append([]byte(nil), p.Data...)}
+		return b.postData(ctx, streamData{id: id, offset: p.Offset, data: append([]byte(nil), p.Data...), window: w})
 	}
 	return nil
 }
@@ -239,31 +248,43 @@
 // handleData stores the next part of an answer and forwards it. Data that was received before is dropped. A gap
 // cannot occur, because the stream's goroutine reports the parts in order.
 func (b *backend) handleData(now time.Time, e streamData) {
+	release := func() { e.window.release(e.data) }
+	piece := b.addData(now, e)
+	s := b.streams[e.id]
+	if piece == nil || s.conn == nil {
+		release()
+	} else {
+		_ = s.conn.SendThen(piece, release)
+	}
+	if piece != nil && s.offer.Prompt != nil {
+		b.scheduler.Progress(now, s.id, prompt.ProgressReport{Generated: s.tokens})
+	}
+}
+
+// addData stores the next part of an answer and returns the message with what is new of it, or nil if there is none.
+func (b *backend) addData(now time.Time, e streamData) *link.Piece {
 	s := b.streams[e.id]
 	if s == nil || s.ended || b.handleSegmentProgress(s) {
-		return
+		return nil
 	}
 	have := int64(len(s.buffer))
 	if e.offset > have {
 		b.reportViolation("offset-gap", s.id)
 		b.failStream(now, s, answer.ReasonBrokenAnswer, false)
-		return
+		return nil
 	}
 	if have-e.offset >= int64(len(e.data)) {
-		return
+		return nil
 	}
 	b.recordPrefill(s)
 	fresh := e.data[have-e.offset:]
-	if len(s.buffer)+len(fresh) > maxAnswerBytes {
-		b.failStream(now, s, answer.ReasonTooLarge, false)
-		return
+	if err := b.holdAnswer(s, len(fresh)); err != nil {
+		b.failNotHeld(now, s, err)
+		return nil
 	}
 	s.buffer = append(s.buffer, fresh...)
 	s.tokens += e.tokens
-	s.send(&link.Piece{ID: s.wireID, Offset: have, Data: fresh, Tokens: e.tokens})
-	if s.offer.Prompt != nil {
-		b.scheduler.Progress(now, s.id, prompt.ProgressReport{Generated: s.tokens})
-	}
+	return &link.Piece{ID: s.wireID, Offset: have, Data: fresh, Tokens: e.tokens}
 }
 
 // handleStreamEnd handles the end of a backend call.
@@ -367,9 +388,13 @@
 }
 
 // endStream sends the final message of a request. The message is kept for endedRetention, in case it is lost with the
-// link.
+// link, and so is a complete answer.
 func (b *backend) endStream(now time.Time, s *stream, last link.Message) {
 	s.ended, s.endedAt, s.lastMessage = true, now, last
+	s.releaseRequest()
+	if _, failed := last.(*link.Failed); failed {
+		s.releaseAnswer()
+	}
 	b.control.planDue = true
 	s.send(last)
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -61,6 +61,8 @@
 	}
 	// LoseAnswer runs each of the next Count calls and closes the connection without an answer.
 	LoseAnswer struct{ Count int }
+	// EndlessAnswers makes each call run and answers it with a body that goes on until the connection is closed.
+	EndlessAnswers struct{ On bool }
 )
 
 // Faults of the platform.
@@ -76,20 +78,21 @@
 	Stale struct{ On bool }
 )
 
-func (Crash) fault()         {}
-func (Freeze) fault()        {}
-func (SilenceConns) fault()  {}
-func (ClearFaults) fault()   {}
-func (TurnCold) fault()      {}
-func (CrashOnMarker) fault() {}
-func (IgnoreCancels) fault() {}
-func (IgnoreFences) fault()  {}
-func (Slow) fault()          {}
-func (Delay) fault()         {}
-func (CrashAfterRun) fault() {}
-func (LoseAnswer) fault()    {}
-func (Unreachable) fault()   {}
-func (Stale) fault()         {}
+func (Crash) fault()          {}
+func (Freeze) fault()         {}
+func (SilenceConns) fault()   {}
+func (ClearFaults) fault()    {}
+func (TurnCold) fault()       {}
+func (CrashOnMarker) fault()  {}
+func (IgnoreCancels) fault()  {}
+func (IgnoreFences) fault()   {}
+func (Slow) fault()           {}
+func (Delay) fault()          {}
+func (CrashAfterRun) fault()  {}
+func (LoseAnswer) fault()     {}
+func (EndlessAnswers) fault() {}
+func (Unreachable) fault()    {}
+func (Stale) fault()          {}
 
 // faultRequest is the body of POST /stand-in/faults. Times have the format of Go durations.
 type faultRequest struct {
@@ -134,6 +137,8 @@
 		return CrashAfterRun{Count: r.Count, Downtime: d}, nil
 	case "lose-answer":
 		return LoseAnswer{Count: r.Count}, nil
+	case "endless-answers":
+		return EndlessAnswers{On: r.On}, nil
 	case "unreachable":
 		return Unreachable{On: r.On, Duration: d}, nil
 	case "stale":
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	delay         time.Duration
 	crashAfterRun CrashAfterRun
 	lostAnswers   int
+	// endless means that the bodies of answers never end.
+	endless bool
 }
 
 // NewService returns a service that does not listen on an address, for use as an http.Handler. Call Stop to stop it.
@@ -80,7 +83,7 @@
 	case SilenceConns:
 		s.server.silenceConns()
 	case ClearFaults:
-		s.delay, s.crashAfterRun, s.lostAnswers = 0, CrashAfterRun{}, 0
+		s.delay, s.crashAfterRun, s.lostAnswers, s.endless = 0, CrashAfterRun{}, 0, false
 		s.server.restore()
 	case Delay:
 		s.delay = f.Duration
@@ -88,6 +91,8 @@
 		s.crashAfterRun = f
 	case LoseAnswer:
 		s.lostAnswers = f.Count
+	case EndlessAnswers:
+		s.endless = f.On
 	case TurnCold, CrashOnMarker, IgnoreCancels, IgnoreFences, Slow, Unreachable, Stale:
 		return unsupportedFault(fault)
 	}
@@ -136,10 +141,15 @@
 		s.lostAnswers--
 		answered = false
 	}
+	endless := s.endless
 	s.mu.Unlock()
 	if !answered {
 		panic(http.ErrAbortHandler)
 	}
+	if endless {
+		writeEndlessly(w)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
 	writeJSON(w, struct {
@@ -150,7 +160,27 @@
 
 func (s *Service) handleSlots(w http.ResponseWriter, r *http.Request) {
 	s.delayCall(r)
+	s.mu.Lock()
+	endless := s.endless
+	s.mu.Unlock()
+	if endless {
+		writeEndlessly(w)
+		return
+	}
 	writeJSON(w, struct {
 		Slots []string `json:"slots"`
 	}{[]string{"18:00", "19:00", "20:00", "21:00"}})
 }
+
+// endlessPart is the size in bytes of each write of a body without end.
+const endlessPart = 32 << 10
+
+// writeEndlessly writes a body until the connection is closed.
+func writeEndlessly(w http.ResponseWriter) {
+	part := bytes.Repeat([]byte("x"), endlessPart)
+	for {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
+}
