entry: what waits for callers that read slowly is held within a share of the memory limit

Pieces of answers that callers did not read waited in the entry, up to 8 MiB for each answer and with no bound over all.

Cause: the queue of a request was bounded by the number of messages. A request whose next piece finds no room ends as one of a caller that is too slow; those with little waiting keep a fifth of the budget, so that callers that read are not ended for those that do not. A dropped message wakes its request, which could wait for its deadline otherwise. The status of an entry shows what its bodies take.

Real memory under slow readers was not measured.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -209,6 +209,9 @@
 	}
 	summary.commonRows(st.Generation, st.RefusedGeneration, st.ZonesOut, st.SuspectList)
 	summary.row("workspaces", "%d active", st.ActiveWorkspaces)
+	summary.bodyRow("requests", st.RequestBodies)
+	summary.bodyRow("answers", st.AnswerBodies)
+	summary.bodyRow("waiting", st.WaitingBodies)
 	if err := summary.Flush(); err != nil {
 		return err
 	}
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -53,7 +53,7 @@
 			}
 			held := answers.Reserve()
 			sink := tc.sink(held)
-			a := newAttempt(&peer{entry: &Entry{metrics: new(expvar.Map).Init(), clock: clock.RealClock{}}}, answer.ID{Sequence: 1, Attempt: 1})
+			a := newAttempt(&peer{entry: &Entry{metrics: new(expvar.Map).Init(), clock: clock.RealClock{}, waiting: body.NewBudget(0)}}, answer.ID{Sequence: 1, Attempt: 1})
 			assert.NilError(t, sink.setHead(http.StatusOK, nil))
 			var result attemptResult
 			piece := strings.Repeat("a", 64<<10)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -21,8 +21,8 @@
 	cancelTimeout = 250 * time.Millisecond
 )
 
-// event is what the peer's goroutine passes to an attempt. It is a sealed interface: messageReceived and attemptLost
-// are its only implementations.
+// event is what the peer's goroutine passes to an attempt. It is a sealed interface: messageReceived, attemptLost and
+// messageDropped are its only implementations.
 //
 //sumtype:decl
 type event interface{ event() }
@@ -36,8 +36,12 @@
 	err error
 }
 
+// messageDropped means that a message found no room, so that the attempt cannot go on. The attempt's overflow is set.
+type messageDropped struct{}
+
 func (messageReceived) event() {}
 func (attemptLost) event()     {}
+func (messageDropped) event()  {}
 
 // attemptResult is the result of an attempt. It is a sealed interface: requestEnded and attemptFailed are its only
 // implementations.
@@ -73,7 +77,7 @@
 type attempt struct {
 	id     answer.ID
 	peer   *peer
-	events *link.Queue[event]
+	events *eventQueue
 	// sidecarIncarnation is the incarnation of the sidecar that received the attempt. It is guarded by the peer's
 	// lock.
 	sidecarIncarnation uuid.UUID
@@ -87,7 +91,7 @@
 }
 
 func newAttempt(p *peer, id answer.ID) *attempt {
-	return &attempt{id: id, peer: p, events: link.NewQueue[event](maxAttemptEvents)}
+	return &attempt{id: id, peer: p, events: newEventQueue(p.entry.waiting)}
 }
 
 // run sends the first message and processes events until the attempt ends. ctx ends at the request's deadline or when
@@ -96,7 +100,13 @@
 	if err := a.peer.startAttempt(a, first); err != nil {
 		return attemptFailed{reason: answer.ReasonLinkLost}
 	}
+	defer a.events.Close()
 	defer a.peer.removeAttempt(a.id)
+	return a.awaitEnd(ctx, out)
+}
+
+// awaitEnd processes events until the attempt ends.
+func (a *attempt) awaitEnd(ctx context.Context, out answerSink) attemptResult {
 	for {
 		select {
 		case <-a.events.Ready():
@@ -104,6 +114,7 @@
 				if r := a.handleEvent(e, out); r != nil {
 					return r
 				}
+				a.events.Handled(e)
 			}
 			if a.overflow.Load() {
 				return requestEnded{answer.Unknown{Reason: answer.ReasonCancelled}}
@@ -131,6 +142,8 @@
 		return attemptFailed{reason: answer.ReasonLinkLost, ran: true}
 	case messageReceived:
 		return a.handleMessage(e.message, out)
+	case messageDropped:
+		// The caller of handleEvent looks at overflow.
 	}
 	return nil
 }
@@ -233,6 +246,7 @@
 		case *link.End, *link.Failed:
 			return false, true
 		}
+	case messageDropped:
 	}
 	return false, false
 }
@@ -257,6 +271,7 @@
 					case *link.Refused:
 						return nil, attemptFailed{reason: m.Reason, retryAfter: m.RetryAfter, refused: true}
 					}
+				case messageDropped: // tickets are not counted
 				}
 			}
 		case <-ctx.Done():
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/pkg/answer"
 )
@@ -31,7 +32,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			a := newAttempt(&peer{entry: &Entry{metrics: new(expvar.Map).Init()}}, answer.ID{Sequence: 1, Attempt: 1})
+			a := newAttempt(&peer{entry: &Entry{metrics: new(expvar.Map).Init(), waiting: body.NewBudget(0)}}, answer.ID{Sequence: 1, Attempt: 1})
 			assert.Assert(t, a.handlePiece(&link.Piece{Data: []byte(text)}, discardSink{}) == nil)
 			assert.Equal(t, a.handleEnd(&link.End{Length: tt.length, Digest: tt.digest}), tt.want)
 		})
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"berylward.example/berylward/internal/fleet"
-	"berylward.example/berylward/internal/link"
 	"berylward.example/berylward/internal/memory"
 	"berylward.example/berylward/pkg/answer"
 )
@@ -99,7 +98,7 @@
 			return r.failedOutcome(failureReason(steps), 0), answer.Usage{}
 		}
 		g, steps := memory.NewGroup(now, job, free)
-		run := &groupRun{entry: e, request: r, work: w, out: out, plan: g, events: link.NewQueue[event](maxAttemptEvents)}
+		run := &groupRun{entry: e, request: r, work: w, out: out, plan: g, events: newEventQueue(e.waiting)}
 		outcome, usage := run.run(ctx, steps)
 		notRun, ok := outcome.(answer.NotRun)
 		if !ok || (notRun.Reason != answer.ReasonOverloaded && notRun.Reason != answer.ReasonNoWorker) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,9 @@
 	// bodies holds the bodies of all requests.
 	bodies *body.Budget
 	// answers holds what is kept of the answers to all requests.
-	answers  *body.Budget
+	answers *body.Budget
+	// waiting holds what callers that read slowly have not taken yet.
+	waiting  *body.Budget
 	config   *site.CurrentGeneration
 	exchange *generation.Exchange
 	platform *platformclient.Client
@@ -149,8 +151,12 @@
 // again, and so does the message to a sidecar.
 const bodyShare = 0.15
 
-// answerShare is the share of the memory limit that the answers of running requests may take.
-const answerShare = 0.1
+const (
+	// answerShare is the share of the memory limit that the answers of running requests may take.
+	answerShare = 0.1
+	// waitingShare is the share that pieces of answers may take while their callers read slowly.
+	waitingShare = 0.1
+)
 
 // WithMemoryLimit sets the memory in bytes that the process may use. Requests for whose bodies there is no memory are refused.
 // By default there is no limit.
@@ -175,6 +181,7 @@
 	}
 	e.bodies = body.NewBudget(int64(bodyShare * float64(e.memoryLimit)))
 	e.answers = body.NewBudget(int64(answerShare * float64(e.memoryLimit)))
+	e.waiting = body.NewBudget(int64(waitingShare * float64(e.memoryLimit)))
 	seed := xxhash.Sum64(e.incarnation[:])
 	self := fleet.Instance{Name: o.Instance, Zone: o.Zone, Region: o.Region, Role: fleet.RoleEntry}
 	e.view = fleet.NewView(self, rand.NewPCG(seed, 1), fleet.WithPolicy(e.policy))
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -21,7 +21,7 @@
 	work    *promptWork
 	out     answerSink
 	plan    *memory.Group
-	events  *link.Queue[event]
+	events  *eventQueue
 	// members are the members of the current round, in the order in which they were reserved.
 	members []*groupMember
 	// current is the member that prefills its segment or fetches the caches of the earlier segments.
@@ -54,6 +54,7 @@
 // run executes the plan until it ends.
 func (g *groupRun) run(ctx context.Context, steps []memory.Step) (answer.Outcome, answer.Usage) {
 	g.entry.metrics.Add("groups", 1)
+	defer g.events.Close()
 	timer := g.entry.clock.NewTimer(0)
 	defer timer.Stop()
 	g.execute(ctx, steps)
@@ -63,6 +64,7 @@
 		case <-g.events.Ready():
 			for _, e := range g.events.Take() {
 				g.handleEvent(ctx, e)
+				g.events.Handled(e)
 			}
 			if slices.ContainsFunc(g.members, func(m *groupMember) bool { return m.overflow.Load() }) {
 				g.apply(ctx, memory.Cancelled{})
@@ -246,6 +248,8 @@
 		}
 	case messageReceived:
 		g.handleMessage(ctx, e.message)
+	case messageDropped:
+		// run looks at overflow.
 	}
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -198,6 +198,7 @@
 		p.removeAttempt(id.AnswerID())
 		p.entry.metrics.Add("slow-callers", 1)
 		a.overflow.Store(true)
+		a.events.Put(messageDropped{}) // wakes the request if nothing else waits there
 		p.send(&link.Cancel{ID: id})
 	}
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/callers"
 	"berylward.example/berylward/internal/fleet"
 	"berylward.example/berylward/internal/suspect"
@@ -25,8 +26,13 @@
 	SuspectCount      int               `json:"suspects"`
 	SuspectList       []suspect.Summary `json:"suspect-list,omitempty"`
 	// CallerConnections are the connections that callers have open.
-	CallerConnections callers.Usage  `json:"caller-connections"`
-	Workers           []WorkerStatus `json:"workers"`
+	CallerConnections callers.Usage `json:"caller-connections"`
+	// RequestBodies, AnswerBodies and WaitingBodies are the memory that the bodies of requests take, the answers to running requests,
+	// and what callers that read slowly have not taken yet.
+	RequestBodies body.Usage     `json:"request-bodies"`
+	AnswerBodies  body.Usage     `json:"answer-bodies"`
+	WaitingBodies body.Usage     `json:"waiting-bodies"`
+	Workers       []WorkerStatus `json:"workers"`
 }
 
 // WorkerStatus is the state of one worker that the entry has a peer for, as the entry knows it.
@@ -55,7 +61,8 @@
 	st := Status{
 		Role:     "entry",
 		Instance: e.Instance, Zone: e.Zone, Incarnation: e.incarnation.String(), Ready: reason == "", NotReady: reason,
-		Generation: e.exchange.CurrentNumber(), CallerConnections: e.conns.Usage(), Workers: []WorkerStatus{},
+		Generation: e.exchange.CurrentNumber(), CallerConnections: e.conns.Usage(), RequestBodies: e.bodies.Usage(),
+		AnswerBodies: e.answers.Usage(), WaitingBodies: e.waiting.Usage(), Workers: []WorkerStatus{},
 	}
 	if r, ok := e.config.LastRefusal(); ok && len(r.Problems) > 0 {
 		st.RefusedGeneration = r.Problems[0].String()
