--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -18,9 +18,9 @@
 	requestShare = 0.15
 	answerShare  = 0.25
 	cacheShare   = 0.1
-	// unsentWindow bounds the parts of one answer in bytes that were received from the backend server and not written to the link yet.
+	// sendWindowBytes bounds the parts of one answer in bytes that were received from the backend server and not written to the link yet.
 	// A backend server that sends faster than its entry reads has to wait.
-	unsentWindow = 128 << 10
+	sendWindowBytes = 128 << 10
 )
 
 // budgets bound the bytes that the bodies of all requests take together. They have no limit without a memory limit.
@@ -39,16 +39,16 @@
 	return budgets{requests: share(requestShare), answers: share(answerShare), caches: share(cacheShare)}
 }
 
-// window bounds the parts of one answer that wait to be sent.
-type window struct{ unsent *semaphore.Weighted }
+// sendWindow bounds the parts of one answer that wait to be sent.
+type sendWindow struct{ unsent *semaphore.Weighted }
 
-func newWindow() window { return window{semaphore.NewWeighted(unsentWindow)} }
+func newSendWindow() sendWindow { return sendWindow{semaphore.NewWeighted(sendWindowBytes)} }
 
 // cost returns what a part takes of the window. A part larger than the window takes all of it.
-func (window) cost(part []byte) int64 { return min(int64(len(part)), unsentWindow) }
+func (sendWindow) cost(part []byte) int64 { return min(int64(len(part)), sendWindowBytes) }
 
 // release gives back what a part has taken.
-func (w window) release(part []byte) { w.unsent.Release(w.cost(part)) }
+func (w sendWindow) release(part []byte) { w.unsent.Release(w.cost(part)) }
 
 // postData passes a part of an answer to the backend goroutine, which releases it in its window. It blocks while the window is full,
 // at most until ctx ends.
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -42,7 +42,7 @@
 	offset int64
 	data   []byte
 	tokens int64
-	window window
+	window sendWindow
 }
 
 // streamEnd is the end of a backend call. A nil err means that the answer is complete.
--- a/internal/sidecar/streams.go
+++ b/internal/sidecar/streams.go
@@ -161,7 +161,7 @@
 // backendCall returns the function that calls the backend server for a stream. The function does not access the
 // stream, which the backend goroutine owns.
 func (b *backend) backendCall(s *stream) func(context.Context) (answer.Usage, error) {
-	id, w := s.id, newWindow()
+	id, w := s.id, newSendWindow()
 	if c := s.offer.Call; c != nil {
 		header := map[string][]string{}
 		for name, values := range c.Header {
@@ -201,7 +201,7 @@
 }
 
 // postPart passes a part of a plain service's response to the backend goroutine.
-func (b *backend) postPart(ctx context.Context, id answer.ID, w window, p engine.ResponsePart) error {
+func (b *backend) postPart(ctx context.Context, id answer.ID, w sendWindow, p engine.ResponsePart) error {
 	switch p := p.(type) {
 	case engine.ResponseHead:
 		return b.postEvent(streamHead{id: id, status: p.Status, header: p.Header})
