gateway: a stream that is moved from a silent engine during a stop is not cut by its own placement

Cause: two predictions for one decision. A silent attempt is given up only if another engine could complete the answer before the end of the stop; the placement that follows asked again, and by then seven other streams had been moved, and engines are drawn at random. It said ends-too-late, and the stream was cut.

Change: an attempt that was given up for another server during a stop is placed without regard to the end of the stop. The question before giving up still has regard to it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,7 +229,12 @@
 // the response, because the caller is waiting for the next event.
 func (q *request) currentProfile() dispatch.RequestProfile {
 	profile := q.profile
-	profile.HoldID, profile.CompleteBy = q.holdID, q.completeBy()
+	profile.HoldID = q.holdID
+	// That a silent attempt is given up rests on a prediction for another backend server. It is not made again for the next
+	// placement: other requests may have been moved there meanwhile, and the answer would be cut for which the server still worked.
+	if !q.moved {
+		profile.CompleteBy = q.completeBy()
+	}
 	if q.delivered {
 		profile.TargetTime, profile.Deadline = time.Time{}, time.Time{}
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -41,6 +41,7 @@
 		q.runs = append(q.runs, run{server: a.server, answered: failure.Kind == backend.KindMalformed})
 	}
 	q.tried = append(q.tried, a.server.ID)
+	q.moved = failure.Kind == backend.KindTimeout && q.gateway.shutdown.hasBegun()
 	if failure.Sent() && failure.Kind != backend.KindConnectionLost {
 		q.recordGivenUp(a)
 	}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -82,7 +82,9 @@
 	}
 	g := q.gateway
 	tried := append(slices.Clone(q.tried), a.server.ID)
-	switch g.planner.Place(now, q.currentProfile(), g.roster.InService(q.service), tried).(type) {
+	profile := q.currentProfile()
+	profile.CompleteBy = q.completeBy()
+	switch g.planner.Place(now, profile, g.roster.InService(q.service), tried).(type) {
 	case dispatch.Send, dispatch.JointPrefill:
 		return true
 	case dispatch.Hold, dispatch.NoPlacement:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,7 +54,9 @@
 	runs              []run
 	sends             int
 	exchanged         bool // the request may have reached a backend server
-	probesPart        bool // the request may be sent once, to show whether a quarantined part still ends backend servers
+	// moved is set if the last attempt was given up during a shutdown because another backend server could complete the answer.
+	moved      bool
+	probesPart bool // the request may be sent once, to show whether a quarantined part still ends backend servers
 	// probesRequest is set if the request may be sent once, to show whether it ends backend servers itself.
 	probesRequest bool
 	holdReasons   []dispatch.HoldReason
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -171,3 +171,38 @@
 		assert.NilError(t, <-stopped)
 	})
 }
+
+// Guards against streams that a stopping gateway takes from a silent engine, because another one could complete them in time, and
+// then cuts, because by then the others that it has moved have taken that engine's time.
+func TestStopKeepsStreamsItMoves(t *testing.T) {
+	const streams, shutdown = 40, 8 * time.Second
+	// Answers so long, in tokens, that the other engine could complete a part of the streams in time.
+	cases := map[string]int64{"most": 5400, "many": 5600, "half": 5800, "some": 6000, "few": 6200}
+	for name, answer := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.setFaults("pool", direct.Pauses{After: 2, For: time.Minute}, direct.NoFault{})
+				cut := make(chan time.Duration, streams)
+				var calls sync.WaitGroup
+				stop := time.Now().Add(800 * time.Millisecond)
+				for range streams {
+					calls.Go(func() {
+						got := h.call(http.MethodPost, "/draft/a", func(c *gateway.CallerRequest) {
+							c.Timeout, c.Prompt = 10*time.Second, &gateway.Prompt{Tokens: 9000, MaxOutputTokens: answer}
+						})
+						if got.Status == http.StatusOK && !got.complete {
+							cut <- time.Since(stop)
+						}
+					})
+				}
+				time.Sleep(time.Until(stop))
+				assert.NilError(t, h.gateway.Stop(h.test.Context()))
+				calls.Wait()
+				close(cut)
+				for at := range cut {
+					assert.Check(t, at > shutdown-time.Second, "a stream was cut %v after the start of the stop", at)
+				}
+			})
+		})
+	}
+}
