dispatch, peering: refusals of other prompts do not decide on a prompt

Callers saw: a prompt that engines could have begun at once was refused, because longer prompts of its route had been refused before.

Cause: gateways counted arrivals and refusals by class of length, and refused arriving prompts of shorter classes, by a draw, until the shares agreed. The counts were meant to keep the longest prompts from being starved, but a refusal of one caller gives another one nothing.

Change: the counts, the draw and their part of the datagrams go. What starves the longest prompts is the order of service.

Conclusion: what becomes of a prompt depends on its time, its work and the engines, not on what others were told.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -282,12 +282,7 @@
 		if place.Reserved {
 			r.memory, r.reserved = r.memory/int64(len(place.Servers))+ReserveSlack, true
 		}
-	case NoPlacement:
-		if place.Reason.lacksCapacity() && profile.Engine != nil && !profile.Short() {
-			p.queue.recordRefusal(now, profile)
-		}
-		return 0
-	case Hold:
+	case Hold, NoPlacement:
 		return 0
 	}
 	for i, st := range r.servers {
--- a/internal/dispatch/heavy.go
+++ b/internal/dispatch/heavy.go
@@ -97,19 +97,6 @@
 	return NoPlacement{Reason: Overloaded, RetryAfter: max(wait-limit, minOverloadedRetry)}, true
 }
 
-// refuseForEvenness refuses a request that has just arrived if longer prompts of its route have lately been refused more often,
-// and reports whether it does. Shorter prompts need no turn and would otherwise be served instead of longer ones.
-func (p *Planner) refuseForEvenness(now time.Time, profile RequestProfile, position queuePosition) (NoPlacement, bool) {
-	if profile.Admitted || position.ahead+position.late == 0 {
-		return NoPlacement{}, false
-	}
-	counts := p.queue.shedCounts(now, profile.Route)
-	if p.random.Float64() >= counts.evenRefusal(profile.lengthClass()) {
-		return NoPlacement{}, false
-	}
-	return NoPlacement{Reason: Overloaded, RetryAfter: max(position.wait(), minOverloadedRetry)}, true
-}
-
 // delayHeavy holds or refuses a heavy prompt, and reports whether it does; otherwise the prompt may be sent. expected is
 // the predicted time to its first event if it is sent now.
 func delayHeavy(now time.Time, profile RequestProfile, position queuePosition, candidates []candidate, expected time.Duration) (Placement, bool) {
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -75,9 +75,6 @@
 		if refusal, refused := refuseForQueue(profile, position); refused {
 			return refusal
 		}
-		if refusal, refused := p.refuseForEvenness(now, profile, position); refused {
-			return refusal
-		}
 	}
 	chosen, expected := chooseLongEngines(profile, candidates)
 	if len(chosen) == 0 {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -87,9 +87,6 @@
 	TooLarge Reason = "too-large"
 )
 
-// lacksCapacity reports whether a request is refused for a reason that other prompts could have yielded to.
-func (r Reason) lacksCapacity() bool { return r == Overloaded || r == NoMemory }
-
 // NoPlacement means that the request cannot be placed now.
 type NoPlacement struct {
 	Reason Reason
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -34,7 +34,6 @@
 	held    map[HoldID]heldPrompt
 	offered map[Key]*offeredPrefill
 	peers   map[string]peerQueue
-	shed    map[Key]*shedCounter
 	changed bool
 }
 
@@ -55,11 +54,10 @@
 type peerQueue struct {
 	held    []heldPrompt
 	offered []OfferedPrefill
-	shed    []ShedCounts
 }
 
 func newLongQueue() longQueue {
-	return longQueue{held: map[HoldID]heldPrompt{}, offered: map[Key]*offeredPrefill{}, peers: map[string]peerQueue{}, shed: map[Key]*shedCounter{}}
+	return longQueue{held: map[HoldID]heldPrompt{}, offered: map[Key]*offeredPrefill{}, peers: map[string]peerQueue{}}
 }
 
 // forget reduces the counts by the time that has passed.
@@ -75,7 +73,6 @@
 	if profile.Engine == nil || profile.Short() {
 		return
 	}
-	p.queue.shedCounterOf(now, profile.Route).counts.Arrived[profile.lengthClass()]++
 	o := p.queue.offered[profile.Service]
 	if o == nil {
 		o = &offeredPrefill{}
@@ -122,7 +119,6 @@
 type QueueReport struct {
 	Held    []HeldPrompt
 	Offered []OfferedPrefill
-	Shed    []ShedCounts
 }
 
 // Queue returns this gateway's report to other gateways.
@@ -135,13 +131,12 @@
 		o.forget(now)
 		report.Offered = append(report.Offered, OfferedPrefill{Service: service, Heavy: seconds(o.heavy), Total: seconds(o.total)})
 	}
-	report.Shed = p.queue.reportedShed(now)
 	return report
 }
 
 // SetPeerQueue replaces the report of another gateway. It counts as long as the loads that the gateway has reported.
 func (p *Planner) SetPeerQueue(now time.Time, gateway string, report QueueReport) {
-	q := peerQueue{offered: report.Offered, shed: report.Shed}
+	q := peerQueue{offered: report.Offered}
 	for _, h := range report.Held {
 		q.held = append(q.held, heldPrompt{service: h.Service, route: h.Route, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill, due: h.Due})
 	}
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -113,3 +113,31 @@
 		})
 	}
 }
+
+// Guards against a prompt that is refused because other prompts were, although engines are free and it needs no turn: of a
+// prompt of 100,000 tokens all of 200 were refused after 30 longer ones.
+func TestRefusalsOfOthersDoNotDecide(t *testing.T) {
+	const pool, review = 1, 7
+	for _, others := range []int{0, 30} {
+		p := newPlanner(1)
+		p.SetPeerLoads(start, "other", nil)
+		p.SetPeerQueue(start, "other", dispatch.QueueReport{
+			Held: []dispatch.HeldPrompt{{Service: pool, Route: review, Waited: time.Second, Prefill: 12 * time.Second}},
+		})
+		for range others {
+			longer := longProfile(450_000)
+			longer.Service, longer.Route = pool, review
+			p.RecordArrival(start, longer)
+			p.RecordPlacement(start, longer, dispatch.NoPlacement{Reason: dispatch.Overloaded})
+		}
+		refused := 0
+		for range 200 {
+			profile := longProfile(100_000)
+			profile.Service, profile.Route = pool, review
+			if _, ok := p.Place(start, profile, newServers(20), nil).(dispatch.NoPlacement); ok {
+				refused++
+			}
+		}
+		assert.Check(t, refused == 0, "refused %d of 200 after %d refusals of others", refused, others)
+	}
+}
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -57,7 +57,6 @@
 	Stamp       uint64
 	Held        []heldMessage
 	Offered     []offeredMessage
-	Shed        []shedMessage
 	Parts       []byte
 }
 
@@ -104,7 +103,7 @@
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
-		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Offered: encodeOffered(s.Offered), Shed: encodeShed(s.Shed),
+		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Offered: encodeOffered(s.Offered),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
@@ -169,9 +168,6 @@
 	if s.Held, s.Offered, err = decodeQueue(m.Held, m.Offered); err != nil {
 		return State{}, Proof{}, err
 	}
-	if s.Shed, err = decodeShed(m.Shed); err != nil {
-		return State{}, Proof{}, err
-	}
 	for _, u := range m.RetryUsage {
 		if u.Requests > maxCount || u.Retries > maxCount {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("retry usage out of range")}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -74,8 +74,6 @@
 	// Held are the heavy prompts that the gateway holds, Offered the long prompts that have arrived at it by service.
 	Held    []dispatch.HeldPrompt
 	Offered []dispatch.OfferedPrefill
-	// Shed are the long prompts that have arrived at the gateway and been refused, by route.
-	Shed []dispatch.ShedCounts
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// Requests is what the gateway knows of requests that were running when backend servers ended, in the encoding of package
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -235,7 +235,6 @@
 		Loads:      []dispatch.Load{{Key: 3, Short: 2, Long: 1, PendingPrefill: 250 * time.Millisecond, Memory: 9000, AvoidFor: time.Second, PendingHeavy: 200 * time.Millisecond}},
 		Held:       []dispatch.HeldPrompt{{Service: 4, Route: 5, Waited: 2 * time.Second, Prefill: 9 * time.Second, Due: true}},
 		Offered:    []dispatch.OfferedPrefill{{Service: 4, Heavy: 20 * time.Second, Total: 40 * time.Second}},
-		Shed:       []dispatch.ShedCounts{{Route: 5, Arrived: [3]float64{4, 2.5, 1}, Refused: [3]float64{0, 1.25, 1}}},
 		RetryUsage: []dispatch.RetryUsage{{Service: 8, Requests: 90, Retries: 4}}, Stamp: 70_000,
 	}
 	proof := peering.Proof{Version: 8, Incarnation: 3, Stamp: 70_000, Delay: 40 * time.Millisecond}
@@ -251,10 +250,9 @@
 	for i := range 500 {
 		state.Loads = append(state.Loads, dispatch.Load{Key: dispatch.Key(i + 1<<30), Short: 10, PendingPrefill: time.Duration(i) * time.Second})
 	}
-	state.Held, state.Offered, state.Shed = nil, nil, nil
+	state.Held, state.Offered = nil, nil
 	for i := range 500 {
 		state.Held = append(state.Held, dispatch.HeldPrompt{Service: 1 << 30, Route: 1 << 31, Waited: time.Duration(i) * time.Second, Prefill: time.Minute})
-		state.Shed = append(state.Shed, dispatch.ShedCounts{Route: 1 << 31, Arrived: [3]float64{20, 20, 20}, Refused: [3]float64{20, 20, float64(i)}})
 		state.Offered = append(state.Offered, dispatch.OfferedPrefill{Service: 1 << 30, Heavy: time.Duration(i) * time.Second, Total: time.Hour * 2})
 	}
 	data, err = peering.Encode(state)
--- a/internal/peering/size_test.go
+++ b/internal/peering/size_test.go
@@ -29,9 +29,6 @@
 			})
 			s.Held = append(s.Held, dispatch.HeldPrompt{Service: 1 << 31, Route: 1 << 31, Waited: d, Prefill: d})
 			s.Offered = append(s.Offered, dispatch.OfferedPrefill{Service: dispatch.Key(1<<31 + i), Total: d, Heavy: d})
-			s.Shed = append(s.Shed, dispatch.ShedCounts{
-				Route: dispatch.Key(1<<31 + i), Arrived: [3]float64{float64(count), 5, 5}, Refused: [3]float64{float64(count), 5, 5},
-			})
 			s.RetryUsage = append(s.RetryUsage, dispatch.RetryUsage{Service: dispatch.Key(1<<31 + i), Requests: count, Retries: count})
 		}
 		for i := range 12 {
