dispatch, peering: long prompts share the engines by length, in one order

A prompt of just over twice its target waited for its turn, one just below it did not, and prompts that needed no turn took the engine time for which longer ones waited.

Cause: only prompts above a multiple of their target stood in the queue. What they waited for was bounded by a fixed share of their time, and all prompts of the same route were refused with them, so that refusals looked alike over lengths.

Change: all long prompts that gateways hold stand in one order. The prompt goes first whose length has got, with it, the smallest part of what has arrived of it (fair queueing by length, in order of arrival within a length); lengths are classes of doubled prefill time with a continuous transition. A prompt is sent when at most 1.5 s of prefill stand before each engine. One that arrives is refused if it could not be done before its deadline in this order, with the time by which it could. One that is held keeps its place, is sent at the latest when its time runs out, and is refused once it cannot be done. A late prompt waits for nearly free engines for 1.5 s after its target, no longer until its deadline. Routes, targets of the queue, shares of the time and maxQueueShare, minHeavyShare, heavyPace, heavyPrefillFactor, the share windows and idleMeanPrefill go.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -310,7 +310,7 @@
 		t.row("", "reports from %s: %d ms old at most", zone, st.ReportAges[zone])
 	}
 	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
-	t.row("held heavy prompts", "%d at all gateways, %d ms of prefill", st.HeldHeavy, st.HeldPrefill)
+	t.row("held long prompts", "%d at all gateways, %d ms of prefill", st.HeldLong, st.HeldPrefill)
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,9 +17,8 @@
 
 // RequestProfile describes the cost and the deadlines of a request.
 type RequestProfile struct {
-	// Service and Route identify the service and the route, which is the kind of request.
-	Service, Route Key
-	// Admitted is set once the request has been sent or held. It is not refused for the length of the queue after that.
+	Service Key
+	// Admitted is set once the request has been sent or held. A short prompt is not refused after that.
 	Admitted bool
 	// Engine is nil for a plain service.
 	Engine *route.Engine
@@ -62,12 +61,7 @@
 }
 
 // ServiceKey returns the key that identifies a service in reports between gateways.
-func ServiceKey(name string) Key { return nameKey(name) }
-
-// RouteKey returns the key that identifies a route in reports between gateways.
-func RouteKey(name string) Key { return nameKey(name) }
-
-func nameKey(name string) Key { return Key(xxhash.Sum64String(name) >> 32) }
+func ServiceKey(name string) Key { return Key(xxhash.Sum64String(name) >> 32) }
 
 // Load is the outstanding work of one gateway at one backend server.
 type Load struct {
@@ -77,8 +71,6 @@
 	// PendingPrefill is the pending prefill time, Memory the number of tokens held in memory.
 	PendingPrefill time.Duration
 	Memory         int64
-	// PendingHeavy is the part of PendingPrefill of heavy prompts.
-	PendingHeavy time.Duration
 	// AvoidFor is the time for which the gateway still avoids the backend server because of failures.
 	AvoidFor time.Duration
 }
@@ -89,22 +81,25 @@
 	l.Long += sign * other.Long
 	l.PendingPrefill += time.Duration(sign) * other.PendingPrefill
 	l.Memory += int64(sign) * other.Memory
-	l.PendingHeavy += time.Duration(sign) * other.PendingHeavy
 }
 
 // placedRequest is a request that was placed and has not ended.
 type placedRequest struct {
 	placedAt time.Time
 	servers  []*serverState
-	prefill  time.Duration
-	memory   int64
+	service  Key
+	// prefill is the prefill time at each of the servers, expected the predicted time to the first event.
+	prefill, expected time.Duration
+	memory            int64
 	// reserved means that memory is held at each of the servers, and not only at the first.
 	reserved    bool
 	short       bool
-	heavy       bool
 	prefillDone bool
 }
 
+// parts returns the number of parts in which the prompt is prefilled.
+func (r *placedRequest) parts() int { return len(r.servers) }
+
 // serverState is what this gateway knows of one incarnation of a backend server.
 type serverState struct {
 	key Key
@@ -268,16 +263,16 @@
 // RecordPlacement records that a request is sent as placed. The PlacementID identifies it in calls of RecordProgress
 // and RecordEnd. It is zero for Hold and NoPlacement.
 func (p *Planner) RecordPlacement(now time.Time, profile RequestProfile, place Placement) PlacementID {
-	r := &placedRequest{placedAt: now, short: profile.Short(), heavy: profile.heavy(), prefill: profile.PrefillTime()}
+	r := &placedRequest{placedAt: now, service: profile.Service, short: profile.Short(), prefill: profile.PrefillTime()}
 	switch place := place.(type) {
 	case Send:
-		r.servers = []*serverState{p.stateOf(place.Server)}
+		r.servers, r.expected = []*serverState{p.stateOf(place.Server)}, place.Expected
 		r.memory = profile.Prompt + profile.Answer
 	case JointPrefill:
 		for _, s := range place.Servers {
 			r.servers = append(r.servers, p.stateOf(s))
 		}
-		r.prefill = place.PartTime
+		r.prefill, r.expected = place.PartTime, place.Expected
 		r.memory = profile.Prompt + profile.Answer
 		if place.Reserved {
 			r.memory, r.reserved = r.memory/int64(len(place.Servers))+ReserveSlack, true
@@ -285,12 +280,12 @@
 	case Hold, NoPlacement:
 		return 0
 	}
+	if !r.short {
+		p.queue.ownWorkOf(now, r.service).sent.Add(profile.PrefillTime(), profile.PrefillTime())
+	}
 	for i, st := range r.servers {
 		st.left = false
 		st.own.PendingPrefill += r.prefill
-		if r.heavy {
-			st.own.PendingHeavy += r.prefill
-		}
 		if i == 0 || r.reserved {
 			st.own.Memory += r.memory
 		}
@@ -326,9 +321,6 @@
 	p.loadsChanged = true
 	for _, st := range r.servers {
 		st.own.PendingPrefill -= r.prefill
-		if r.heavy {
-			st.own.PendingHeavy -= r.prefill
-		}
 	}
 }
 
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -36,8 +36,8 @@
 	// that is already late.
 	maxLateBacklog = 200 * time.Millisecond
 	// A held request is placed again every holdInterval. It is held only while its first event is expected at least
-	// deadlineMargin before its deadline even if one more prompt like it is sent first, or at least deadlineMargin
-	// before its target time if every engine has short requests.
+	// deadlineMargin before its deadline, or at least deadlineMargin before its target time if every engine has short
+	// requests.
 	holdInterval   = 40 * time.Millisecond
 	deadlineMargin = 700 * time.Millisecond
 )
@@ -53,29 +53,24 @@
 		// A prefill pauses the answers that its engine generates.
 		return cmp.Or(cmp.Compare(a.pending(), b.pending()), cmp.Compare(a.total.Long, b.total.Long), cmp.Compare(a.rank, b.rank))
 	})
-	position := p.queuePosition(now, profile, candidates)
-	placement := p.placeInQueue(now, profile, position, candidates, engines)
+	t := p.turn(now, profile, len(candidates))
+	placement := p.placeInTurn(now, profile, t, candidates, engines)
 	switch d := placement.(type) {
 	case Hold:
-		d.Queue = position.view()
+		d.Queue = t.view()
 		return d
 	case NoPlacement:
-		d.Queue = position.view()
+		d.Queue = t.view()
 		return d
 	case Send, JointPrefill:
 	}
 	return placement
 }
 
-// placeInQueue prefills a prompt on as few engines as it takes for the first event to be on time, preferably on engines
-// without short requests. The candidates must be sorted by pending prefill.
-func (p *Planner) placeInQueue(now time.Time, profile RequestProfile, position queuePosition, candidates []candidate, engines int) Placement {
+// placeInTurn prefills a prompt on as few engines as it takes for the first event to be on time, preferably on engines
+// without short requests, when its turn has come. The candidates must be sorted by pending prefill.
+func (p *Planner) placeInTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, engines int) Placement {
 	mayWait := !profile.TargetTime.IsZero()
-	if mayWait {
-		if refusal, refused := refuseForQueue(profile, position); refused {
-			return refusal
-		}
-	}
 	chosen, expected := chooseLongEngines(profile, candidates)
 	if len(chosen) == 0 {
 		chosen, expected = chooseFallbackEngines(profile, candidates, math.MaxInt64)
@@ -92,17 +87,24 @@
 	if len(chosen) == 0 {
 		return placeWithoutEngines(now, profile, candidates, engines)
 	}
-	part := profile.PrefillTime() / time.Duration(len(chosen))
 	if mayWait {
-		if placement, delayed := delayHeavy(now, profile, position, candidates, expected); delayed {
+		if placement, waits := awaitTurn(now, profile, t, candidates, expected); waits {
 			return placement
 		}
-		late := now.Add(expected).After(profile.TargetTime) && expected-part > maxLateBacklog
-		if late && now.Add(expected+part+deadlineMargin).Before(profile.Deadline) {
+		backlog := expected - profile.PrefillTime()/time.Duration(len(chosen))
+		if waitsForFreeEngines(now, profile, expected, backlog) {
 			return hold(HoldLate, candidates, expected)
 		}
 	}
-	return p.sendLong(profile, chosen, part, expected)
+	return p.sendLong(profile, chosen, profile.PrefillTime()/time.Duration(len(chosen)), expected)
+}
+
+// waitsForFreeEngines reports whether a prompt whose turn has come, and which would be late, waits until the engines that it
+// would be sent to have little before them. Engines prefill all their prompts at a time, so it would make those there late too.
+// It waits no longer than engines may have before them, so that it keeps the time in which it can be done.
+func waitsForFreeEngines(now time.Time, profile RequestProfile, expected, backlog time.Duration) bool {
+	late := now.Add(expected).After(profile.TargetTime)
+	return late && backlog > maxLateBacklog && now.Before(profile.TargetTime.Add(sendAhead)) && now.Add(expected+deadlineMargin).Before(profile.Deadline)
 }
 
 // chooseLongEngines returns the engines without short requests that prefill a prompt soonest and when they will finish,
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -39,10 +39,11 @@
 
 // The reasons why a request is held.
 const (
-	// HoldLate means that the first event would be late, so requests that can still be on time go first.
+	// HoldLate means that the turn of a long prompt has come, and that its first event would be late, so it waits until its
+	// engines have little before them.
 	HoldLate HoldReason = "late"
-	// HoldHeavy means that the turn of a heavy prompt has not come yet.
-	HoldHeavy HoldReason = "heavy"
+	// HoldTurn means that the turn of a long prompt has not come yet.
+	HoldTurn HoldReason = "turn"
 	// HoldShort means that all engines with memory for the prompt have short requests.
 	HoldShort HoldReason = "short-requests"
 	// HoldMemory means that no set of engines has memory for the prompt.
@@ -59,7 +60,7 @@
 	MeanPending time.Duration
 	// Expected is the predicted time to the first event if the request were sent now.
 	Expected time.Duration
-	// Queue is the place of a long prompt in the queue of heavy prompts.
+	// Queue is the place of a long prompt among those that wait for their turn.
 	Queue QueueView
 }
 
@@ -76,8 +77,7 @@
 	AllCold Reason = "all-cold"
 	// AllBusy means that all remaining backend servers want no requests until it is too late for this one.
 	AllBusy Reason = "all-busy"
-	// Overloaded means that the queue of heavy prompts is too long, that the request cannot be served before its
-	// deadline, or that it has been held for engines without short requests for as long as allowed.
+	// Overloaded means that the request cannot be served before its deadline.
 	Overloaded Reason = "overloaded"
 	// NoMemory means that the request has been held for memory for as long as allowed.
 	NoMemory Reason = "no-memory"
@@ -92,13 +92,13 @@
 	Reason Reason
 	// RetryAfter is the time after which the caller may try again.
 	RetryAfter time.Duration
-	// Queue is the place of a long prompt in the queue of heavy prompts.
+	// Queue is the place of a long prompt among those that wait for their turn.
 	Queue QueueView
 }
 
-// QueueView is the place of a request in the queue of heavy prompts as its gateway saw it, for logs.
+// QueueView is the place of a long prompt among those that wait for their turn as its gateway saw it, for logs.
 type QueueView struct {
-	// Ahead is the heavy prefill that goes first, Allowed the pending heavy prefill up to which it is the request's turn.
+	// Ahead is the prefill that goes first, Allowed the prefill ahead up to which it is the prompt's turn.
 	Ahead, Allowed time.Duration
 	// Wait is the predicted time until then.
 	Wait time.Duration
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,91 +5,98 @@
 	"time"
 )
 
-// offeredMemory is the time constant with which the prefill that has arrived is forgotten.
-const offeredMemory = 10 * time.Second
+// workMemory is the time constant with which the prefill that has arrived or was sent is forgotten.
+const workMemory = 10 * time.Second
 
 // HoldID identifies a held request until it is sent or ends.
 type HoldID uint64
 
-// HeldPrompt is a heavy prompt that a gateway holds.
+// HeldPrompt is a long prompt that a gateway holds until its turn.
 type HeldPrompt struct {
-	Service, Route Key
+	Service Key
 	// Waited is the time since the request arrived, Prefill the prefill time of the prompt on one engine.
 	Waited, Prefill time.Duration
-	// Due means that the prompt may be sent at any time, and is held because it would be late.
-	Due bool
 }
 
-// OfferedPrefill is the prefill time of the long prompts for a service that have arrived at a gateway; the older an
-// arrival, the less it counts. Heavy is the part of heavy prompts.
-type OfferedPrefill struct {
-	Service      Key
-	Heavy, Total time.Duration
+// LongWork is the prefill of the long prompts for a service at a gateway, as time on one engine.
+type LongWork struct {
+	Service Key
+	// Arrived and Sent are what has arrived and what was sent; the older, the less it counts.
+	Arrived, Sent PrefillByLength
+	// Pending is what was sent and is probably not done yet.
+	Pending time.Duration
 }
 
-// longQueue holds the heavy prompts that all gateways hold, and the prefill of the long prompts that have arrived at
-// them.
+// add adds the work of another gateway.
+func (w *LongWork) add(other LongWork) {
+	w.Arrived.addAll(&other.Arrived)
+	w.Sent.addAll(&other.Sent)
+	w.Pending += other.Pending
+}
+
+// longQueue holds the long prompts that all gateways hold until their turn, and the prefill of those that have arrived at them.
 type longQueue struct {
 	lastID  HoldID
 	held    map[HoldID]heldPrompt
-	offered map[Key]*offeredPrefill
+	work    map[Key]*ownWork
 	peers   map[string]peerQueue
 	changed bool
 }
 
 type heldPrompt struct {
-	service, route Key
-	arrivedAt      time.Time
-	prefill        time.Duration
-	due            bool
+	service   Key
+	arrivedAt time.Time
+	prefill   time.Duration
 }
 
-// offeredPrefill is prefill time in seconds, as of countedAt.
-type offeredPrefill struct {
-	heavy, total float64
-	countedAt    time.Time
+// ownWork is the prefill of long prompts that has arrived at this gateway and that it has sent, as of countedAt.
+type ownWork struct {
+	arrived, sent PrefillByLength
+	countedAt     time.Time
 }
 
 // peerQueue is the last report of another gateway.
 type peerQueue struct {
-	held    []heldPrompt
-	offered []OfferedPrefill
+	held []heldPrompt
+	work []LongWork
 }
 
 func newLongQueue() longQueue {
-	return longQueue{held: map[HoldID]heldPrompt{}, offered: map[Key]*offeredPrefill{}, peers: map[string]peerQueue{}}
+	return longQueue{held: map[HoldID]heldPrompt{}, work: map[Key]*ownWork{}, peers: map[string]peerQueue{}}
 }
 
-// forget reduces the counts by the time that has passed.
-func (o *offeredPrefill) forget(now time.Time) {
-	if elapsed := now.Sub(o.countedAt); elapsed > 0 {
-		keep := math.Exp(-elapsed.Seconds() / offeredMemory.Seconds())
-		o.heavy, o.total, o.countedAt = o.heavy*keep, o.total*keep, now
+// forget reduces the work by the time that has passed.
+func (w *ownWork) forget(now time.Time) {
+	if elapsed := now.Sub(w.countedAt); elapsed > 0 {
+		keep := math.Exp(-elapsed.Seconds() / workMemory.Seconds())
+		w.arrived.scale(keep)
+		w.sent.scale(keep)
+		w.countedAt = now
 	}
 }
 
+// ownWorkOf returns the work of this gateway for a service.
+func (q *longQueue) ownWorkOf(now time.Time, service Key) *ownWork {
+	w := q.work[service]
+	if w == nil {
+		w = &ownWork{countedAt: now}
+		q.work[service] = w
+	}
+	w.forget(now)
+	return w
+}
+
 // RecordArrival counts a request that has arrived at this gateway.
 func (p *Planner) RecordArrival(now time.Time, profile RequestProfile) {
-	if profile.Engine == nil || profile.Short() {
-		return
-	}
-	o := p.queue.offered[profile.Service]
-	if o == nil {
-		o = &offeredPrefill{}
-		p.queue.offered[profile.Service] = o
-	}
-	o.forget(now)
-	o.total += profile.PrefillTime().Seconds()
-	if profile.heavy() {
-		o.heavy += profile.PrefillTime().Seconds()
+	if profile.Engine != nil && !profile.Short() {
+		p.queue.ownWorkOf(now, profile.Service).arrived.Add(profile.PrefillTime(), profile.PrefillTime())
 	}
 }
 
 // RecordHold records that a request is held, and returns the HoldID under which it is known until EndHold. A request
-// that is held again keeps the HoldID of its profile. The HoldID is zero if the request is not in the queue of heavy
-// prompts.
+// that is held again keeps the HoldID of its profile. The HoldID is zero if the request does not wait for its turn.
 func (p *Planner) RecordHold(profile RequestProfile, h Hold) HoldID {
-	if !profile.heavy() || h.Reason != HoldHeavy && h.Reason != HoldLate {
+	if h.Reason != HoldTurn && h.Reason != HoldLate {
 		p.EndHold(profile.HoldID)
 		return 0
 	}
@@ -98,10 +105,7 @@
 		p.queue.lastID++
 		id = p.queue.lastID
 	}
-	held := heldPrompt{
-		service: profile.Service, route: profile.Route, arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(),
-		due: h.Reason == HoldLate,
-	}
+	held := heldPrompt{service: profile.Service, arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime()}
 	p.queue.changed = p.queue.changed || p.queue.held[id] != held
 	p.queue.held[id] = held
 	return id
@@ -115,37 +119,45 @@
 	}
 }
 
-// QueueReport is a gateway's part of the queue of heavy prompts, and what it knows of the long prompts that have arrived.
+// QueueReport is what a gateway holds and what it knows of the long prompts that have arrived at it.
 type QueueReport struct {
-	Held    []HeldPrompt
-	Offered []OfferedPrefill
+	Held []HeldPrompt
+	Work []LongWork
 }
 
+// minReportedWork is the work below which a service is dropped.
+const minReportedWork = time.Millisecond
+
 // Queue returns this gateway's report to other gateways.
 func (p *Planner) Queue(now time.Time) QueueReport {
-	report := QueueReport{Held: make([]HeldPrompt, 0, len(p.queue.held)), Offered: make([]OfferedPrefill, 0, len(p.queue.offered))}
+	report := QueueReport{Held: make([]HeldPrompt, 0, len(p.queue.held)), Work: make([]LongWork, 0, len(p.queue.work))}
 	for _, h := range p.queue.held {
-		report.Held = append(report.Held, HeldPrompt{Service: h.service, Route: h.route, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill, Due: h.due})
-	}
-	for service, o := range p.queue.offered {
-		o.forget(now)
-		report.Offered = append(report.Offered, OfferedPrefill{Service: service, Heavy: seconds(o.heavy), Total: seconds(o.total)})
+		report.Held = append(report.Held, HeldPrompt{Service: h.service, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill})
+	}
+	for service, w := range p.queue.work {
+		w.forget(now)
+		pending := p.pendingLong(now, service)
+		if w.arrived.Total()+w.sent.Total()+pending < minReportedWork {
+			delete(p.queue.work, service)
+			continue
+		}
+		report.Work = append(report.Work, LongWork{Service: service, Arrived: w.arrived, Sent: w.sent, Pending: pending})
 	}
 	return report
 }
 
 // SetPeerQueue replaces the report of another gateway. It counts as long as the loads that the gateway has reported.
 func (p *Planner) SetPeerQueue(now time.Time, gateway string, report QueueReport) {
-	q := peerQueue{offered: report.Offered}
+	q := peerQueue{work: report.Work}
 	for _, h := range report.Held {
-		q.held = append(q.held, heldPrompt{service: h.Service, route: h.Route, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill, due: h.Due})
+		q.held = append(q.held, heldPrompt{service: h.Service, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill})
 	}
 	p.queue.peers[gateway] = q
 }
 
-// HeldHeavy returns how many heavy prompts all gateways hold, as far as they have reported it, and their prefill time on one
-// engine in total.
-func (p *Planner) HeldHeavy(now time.Time) (prompts int, prefill time.Duration) {
+// HeldLong returns how many long prompts all gateways hold until their turn, as far as they have reported it, and their prefill
+// time on one engine in total.
+func (p *Planner) HeldLong(now time.Time) (prompts int, prefill time.Duration) {
 	p.expirePeers(now)
 	for _, h := range p.queue.held {
 		prompts, prefill = prompts+1, prefill+h.prefill
@@ -158,60 +170,66 @@
 	return prompts, prefill
 }
 
-// heavyShare returns the part of heavy prompts in the prefill that has arrived at all gateways for a service.
-func (q *longQueue) heavyShare(now time.Time, service Key) float64 {
-	var heavy, total float64
-	if o := q.offered[service]; o != nil {
-		o.forget(now)
-		heavy, total = o.heavy, o.total
+// workOf returns the work of all gateways for a service, without what is pending at this gateway.
+func (q *longQueue) workOf(now time.Time, service Key) LongWork {
+	sum := LongWork{Service: service}
+	if w := q.work[service]; w != nil {
+		w.forget(now)
+		sum.Arrived, sum.Sent = w.arrived, w.sent
 	}
 	for _, peer := range q.peers {
-		for _, o := range peer.offered {
-			if o.Service == service {
-				heavy, total = heavy+o.Heavy.Seconds(), total+o.Total.Seconds()
+		for _, w := range peer.work {
+			if w.Service == service {
+				sum.add(w)
 			}
 		}
 	}
-	return heavy / max(total, 1)
-}
-
-// queuedPrefill is the prefill of the heavy prompts that are held, as seen by one request.
-type queuedPrefill struct {
-	// older is that of prompts which arrived earlier, younger that of later ones, due that of prompts which may be sent.
-	older, younger, due time.Duration
-	// sameRoute is set if one of them has the request's route.
-	sameRoute bool
+	return sum
 }
 
-func (q *queuedPrefill) add(profile RequestProfile, h heldPrompt) {
-	if h.service != profile.Service {
-		return
-	}
-	q.sameRoute = q.sameRoute || h.route == profile.Route
-	switch {
-	case h.due:
-		q.due += h.prefill
-	case h.arrivedAt.Before(profile.arrivedAt()):
-		q.older += h.prefill
-	default:
-		q.younger += h.prefill
+// heldFor returns a prompt and the others for its service that all gateways hold.
+func (q *longQueue) heldFor(profile RequestProfile) []queuedPrompt {
+	queued := []queuedPrompt{{arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(), own: true}}
+	add := func(h heldPrompt) {
+		if h.service == profile.Service {
+			queued = append(queued, queuedPrompt{arrivedAt: h.arrivedAt, prefill: h.prefill})
+		}
 	}
-}
-
-// seenBy returns the prefill of the heavy prompts that all gateways hold, except for the request itself.
-func (q *longQueue) seenBy(profile RequestProfile) queuedPrefill {
-	var queued queuedPrefill
 	for id, h := range q.held {
 		if id != profile.HoldID {
-			queued.add(profile, h)
+			add(h)
 		}
 	}
 	for _, peer := range q.peers {
 		for _, h := range peer.held {
-			queued.add(profile, h)
+			add(h)
 		}
 	}
 	return queued
 }
 
+// pendingLong returns the prefill of the long prompts for a service that this gateway has sent and that is probably not done.
+func (p *Planner) pendingLong(now time.Time, service Key) time.Duration {
+	var pending time.Duration
+	for _, r := range p.requests {
+		if !r.short && r.service == service && !r.prefillDone {
+			pending += r.prefillLeft(now)
+		}
+	}
+	return pending
+}
+
+// minPrefillLeft is the share of a prompt's prefill that counts as pending until its first event, however long that takes.
+const minPrefillLeft = 0.1
+
+// prefillLeft returns the prefill of a prompt that is probably not done, on the assumption that it goes on evenly until the first
+// event is expected.
+func (r *placedRequest) prefillLeft(now time.Time) time.Duration {
+	left := 1.0
+	if r.expected > 0 {
+		left -= now.Sub(r.placedAt).Seconds() / r.expected.Seconds()
+	}
+	return scale(r.prefill*time.Duration(r.parts()), max(left, minPrefillLeft))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -24,8 +24,8 @@
 // placeShort packs short prompts on engines that already have some, up to a limit, then on an engine without, then on
 // fuller engines, and otherwise chooses the engine that will be free first. Each gateway fills the engines in an
 // order of its own, and draws among the first of them, so that gateways that have not yet received each other's latest
-// reports rarely choose the same engine. A request that has just arrived is refused if no engine is expected to begin its answer before its caller gives
-// up.
+// reports rarely choose the same engine. A request is refused if no engine is expected to begin its answer before its
+// caller gives up.
 func (p *Planner) placeShort(now time.Time, profile RequestProfile, candidates []candidate) Placement {
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	best := p.packedEngine(profile, candidates)
--- /dev/null
+++ b/internal/dispatch/turn.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// sendAhead is the prefill that engines may have before them when a long prompt is sent, each on average. It covers
+	// the time until gateways hear of the prefill that is done and send more. What has been sent keeps its place, so with a
+	// longer sendAhead prompts wait behind others that should go after them.
+	sendAhead = 1500 * time.Millisecond
+	// minOverloadedRetry is the shortest delay that is suggested to the caller of a request refused for lack of capacity.
+	// Predictions are off by most of a second, so a caller that returns sooner would often be refused again.
+	minOverloadedRetry = time.Second
+)
+
+// arrivedAt returns when the request arrived.
+func (p RequestProfile) arrivedAt() time.Time { return p.TargetTime.Add(-p.Target) }
+
+// turn is the place of a long prompt among those that all gateways hold, and when it may be sent.
+type turn struct {
+	// ahead is the prefill that engines have before them and that of held prompts that go first; the prompt is sent when it
+	// is at most allowed.
+	ahead, allowed time.Duration
+	// wait is the predicted time until then.
+	wait time.Duration
+}
+
+// due reports whether the prompt may be sent.
+func (t turn) due() bool { return t.ahead <= t.allowed }
+
+// view returns the turn for logs.
+func (t turn) view() QueueView { return QueueView{Ahead: t.ahead, Allowed: t.allowed, Wait: t.wait} }
+
+// queuedPrompt is a held prompt in the order of sending.
+type queuedPrompt struct {
+	arrivedAt time.Time
+	prefill   time.Duration
+	// own is set for the prompt whose turn is looked for.
+	own bool
+	// service is the prefill of prompts of its length that has been sent or goes first, this one included, as a share of what
+	// has arrived.
+	service float64
+}
+
+// turn returns the turn of a long prompt at a number of engines.
+//
+// Engine time is shared among the lengths of prompts in proportion to what arrives of each, and prompts of one length go in
+// the order of arrival: the prompt goes first whose length has got, with it, the smallest part of what has arrived. So neither
+// longer nor shorter prompts can take the engine time of the others, however many there are. While all can be served this is
+// close to the order of arrival.
+func (p *Planner) turn(now time.Time, profile RequestProfile, engines int) turn {
+	prefill := profile.PrefillTime()
+	work := p.queue.workOf(now, profile.Service)
+	work.Pending += p.pendingLong(now, profile.Service)
+	queued := p.queue.heldFor(profile)
+	var older PrefillByLength
+	own := sortByService(queued, work)
+	t := turn{ahead: work.Pending, allowed: time.Duration(engines) * sendAhead}
+	for _, q := range queued {
+		switch {
+		case q.own:
+			continue
+		case goesFirst(q, own):
+			t.ahead += q.prefill
+		}
+		if q.arrivedAt.Before(own.arrivedAt) {
+			older.Add(q.prefill, q.prefill)
+		}
+	}
+	if !t.due() {
+		t.wait = max((t.ahead-t.allowed)/time.Duration(engines), loadedWait(prefill, work, older, t.allowed, engines))
+	}
+	return t
+}
+
+// sortByService sets the service of each queued prompt and returns the prompt whose turn is looked for.
+func sortByService(queued []queuedPrompt, work LongWork) queuedPrompt {
+	slices.SortFunc(queued, func(a, b queuedPrompt) int {
+		return cmp.Or(a.arrivedAt.Compare(b.arrivedAt), compareBool(b.own, a.own), cmp.Compare(a.prefill, b.prefill))
+	})
+	var own queuedPrompt
+	sent := work.Sent
+	for i := range queued {
+		q := &queued[i]
+		sent.Add(q.prefill, q.prefill)
+		q.service = float64(sent.near(q.prefill)) / float64(max(work.Arrived.near(q.prefill), 1))
+		if q.own {
+			own = *q
+		}
+	}
+	return own
+}
+
+// goesFirst reports whether a queued prompt is sent before another one.
+func goesFirst(q, other queuedPrompt) bool {
+	return q.service < other.service || q.service == other.service && q.arrivedAt.Before(other.arrivedAt)
+}
+
+// loadedWait returns the predicted wait of a prompt if prompts of other lengths go on arriving as lately: its length then has its
+// share of the engines, or what the others leave if that is more. older is the prefill of held prompts that arrived earlier.
+// Without it, a prompt would be held that those which arrive after it and go first make miss its deadline.
+func loadedWait(prefill time.Duration, work LongWork, older PrefillByLength, allowed time.Duration, engines int) time.Duration {
+	total, own := work.Arrived.Total().Seconds(), work.Arrived.near(prefill).Seconds()
+	if own == 0 {
+		return 0
+	}
+	share := own / total
+	rate := max(share*float64(engines), float64(engines)-(total-own)/workMemory.Seconds())
+	ahead := older.near(prefill).Seconds() + share*(work.Pending-allowed).Seconds()
+	return seconds(max(0, ahead) / rate)
+}
+
+// awaitTurn holds a long prompt until its turn, or refuses it, and reports whether it does; otherwise the prompt may be sent.
+// expected is the predicted time to its first event if it is sent now.
+//
+// A prompt that has just arrived is refused if it would probably not be done before its deadline. One that is held keeps its
+// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out.
+func awaitTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, expected time.Duration) (Placement, bool) {
+	needed := expected
+	if !t.due() && profile.HoldID == 0 {
+		needed += t.wait + deadlineMargin
+	}
+	left := profile.Deadline.Sub(now)
+	switch {
+	case needed > left:
+		return NoPlacement{Reason: Overloaded, RetryAfter: max(needed-left, minOverloadedRetry)}, true
+	case t.due(), expected+deadlineMargin > left:
+		return nil, false
+	}
+	return hold(HoldTurn, candidates, expected), true
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,7 +61,7 @@
 	probesRequest bool
 	holdReasons   []dispatch.HoldReason
 	heldTime      time.Duration
-	holdID        dispatch.HoldID // zero unless the request is in the queue of heavy prompts
+	holdID        dispatch.HoldID // zero unless the request waits for its turn
 	delivered     bool            // bytes of the response have been sent to the caller
 	// cut is set if the connection to the caller must be closed at the end of the request, because there is no answer or only
 	// a part of one. net/http would otherwise end the response as if it were complete.
@@ -199,7 +199,6 @@
 	g.mu.Lock()
 	ok := q.chooseService(q.admitted.Route)
 	if ok {
-		q.profile.Route = dispatch.RouteKey(q.admitted.Route.Name)
 		q.profile.Target = q.admitted.Route.Target
 		q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
 		q.profile.Deadline = q.latestFirstEvent()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -26,9 +26,9 @@
 	CallerConnections callers.Usage `json:"caller-connections"`
 	// ReportAges is by zone the age of the oldest report of another gateway, in milliseconds.
 	ReportAges map[string]int64 `json:"report-ages-ms,omitempty"`
-	// HeldHeavy is the number of heavy prompts that all gateways hold, HeldPrefill their prefill time on one engine in
-	// milliseconds.
-	HeldHeavy   int   `json:"held-heavy"`
+	// HeldLong is the number of long prompts that all gateways hold until their turn, HeldPrefill their prefill time on one
+	// engine in milliseconds.
+	HeldLong    int   `json:"held-long"`
 	HeldPrefill int64 `json:"held-prefill-ms"`
 	// Prompts is by route how many prompts of different lengths this gateway has answered since its start.
 	Prompts map[string]lengths.Shares `json:"prompts,omitempty"`
@@ -63,8 +63,8 @@
 		}
 		s.ReportAges[zone] = age.Milliseconds()
 	}
-	heldHeavy, heldPrefill := g.planner.HeldHeavy(now)
-	s.HeldHeavy, s.HeldPrefill = heldHeavy, heldPrefill.Milliseconds()
+	held, heldPrefill := g.planner.HeldLong(now)
+	s.HeldLong, s.HeldPrefill = held, heldPrefill.Milliseconds()
 	for f, until := range g.requests.List(now) {
 		if s.QuarantinedRequests == nil {
 			s.QuarantinedRequests = map[string]int64{}
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -56,7 +56,7 @@
 	Requests    []byte
 	Stamp       uint64
 	Held        []heldMessage
-	Offered     []offeredMessage
+	Work        []workMessage
 	Parts       []byte
 }
 
@@ -84,9 +84,8 @@
 	Long             uint32
 	PendingPrefillMS uint32
 	// Memory is in units of 1,000 tokens.
-	Memory         uint32
-	AvoidMS        uint32
-	PendingHeavyMS uint32
+	Memory  uint32
+	AvoidMS uint32
 }
 
 // Encode returns the first part of a datagram, which holds the state. If there are more loads than fit, it keeps the
@@ -103,12 +102,12 @@
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
-		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Offered: encodeOffered(s.Offered),
+		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
 			Key: uint32(l.Key), Short: uint32(l.Short), Long: uint32(l.Long), PendingPrefillMS: uint32(l.PendingPrefill.Milliseconds()),
-			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.AvoidFor.Milliseconds()), PendingHeavyMS: uint32(l.PendingHeavy.Milliseconds()),
+			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.AvoidFor.Milliseconds()),
 		})
 	}
 	for _, u := range s.RetryUsage[:min(len(s.RetryUsage), maxUsages)] {
@@ -156,16 +155,19 @@
 		Loads: make([]dispatch.Load, 0, len(m.Loads)),
 	}
 	for _, l := range m.Loads {
-		if l.Short > maxCount || l.Long > maxCount || l.PendingPrefillMS > maxMilliseconds || l.PendingHeavyMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
+		if l.Short > maxCount || l.Long > maxCount || l.PendingPrefillMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("load out of range")}
 		}
 		s.Loads = append(s.Loads, dispatch.Load{
 			Key: dispatch.Key(l.Key), Short: int(l.Short), Long: int(l.Long),
 			PendingPrefill: time.Duration(l.PendingPrefillMS) * time.Millisecond, Memory: int64(l.Memory) * 1000,
-			AvoidFor: time.Duration(l.AvoidMS) * time.Millisecond, PendingHeavy: time.Duration(l.PendingHeavyMS) * time.Millisecond,
+			AvoidFor: time.Duration(l.AvoidMS) * time.Millisecond,
 		})
 	}
-	if s.Held, s.Offered, err = decodeQueue(m.Held, m.Offered); err != nil {
+	if s.Held, err = decodeHeld(m.Held); err != nil {
+		return State{}, Proof{}, err
+	}
+	if s.Work, err = decodeWork(m.Work); err != nil {
 		return State{}, Proof{}, err
 	}
 	for _, u := range m.RetryUsage {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -71,9 +71,10 @@
 	// Members lists some of the other gateways that the sender knows.
 	Members []netip.AddrPort
 	Loads   []dispatch.Load
-	// Held are the heavy prompts that the gateway holds, Offered the long prompts that have arrived at it by service.
-	Held    []dispatch.HeldPrompt
-	Offered []dispatch.OfferedPrefill
+	// Held are the long prompts that the gateway holds until their turn, Work the prefill of those that have arrived at it
+	// and that it has sent, by service.
+	Held []dispatch.HeldPrompt
+	Work []dispatch.LongWork
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// Requests is what the gateway knows of requests that were running when backend servers ended, in the encoding of package
--- a/internal/peering/queue_messages.go
+++ b/internal/peering/queue_messages.go
@@ -11,25 +11,26 @@
 )
 
 const (
-	// maxHeld limits the held prompts in a datagram, maxOffered the services whose offered prefill it holds.
-	maxHeld    = 12
-	maxOffered = 8
+	// maxHeld limits the held prompts in a datagram, maxWork the services whose work it holds.
+	maxHeld = 12
+	maxWork = 3
+	// workUnit is the resolution of the work by length. It is coarse because only the proportions matter.
+	workUnit = 100 * time.Millisecond
 )
 
 type heldMessage struct {
 	_         struct{} `cbor:",toarray"`
 	Service   uint32
-	Route     uint32
 	WaitedMS  uint32
 	PrefillMS uint32
-	Due       bool
 }
 
-type offeredMessage struct {
-	_       struct{} `cbor:",toarray"`
-	Service uint32
-	HeavyMS uint32
-	TotalMS uint32
+type workMessage struct {
+	_         struct{} `cbor:",toarray"`
+	Service   uint32
+	PendingMS uint32
+	// Arrived and Sent are in units of workUnit.
+	Arrived, Sent [dispatch.LengthClasses]uint32
 }
 
 // encodeHeld returns the messages for held prompts. If there are more than fit, it keeps the oldest, which are sent
@@ -42,55 +43,73 @@
 	}
 	messages := make([]heldMessage, 0, len(held))
 	for _, h := range held {
-		messages = append(messages, heldMessage{
-			Service: uint32(h.Service), Route: uint32(h.Route), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill), Due: h.Due,
-		})
+		messages = append(messages, heldMessage{Service: uint32(h.Service), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill)})
 	}
 	return messages
 }
 
-// encodeOffered returns the messages for offered prefill. If there are more services than fit, it keeps those with the
+// encodeWork returns the messages for the work of services. If there are more services than fit, it keeps those with the
 // most.
-func encodeOffered(offered []dispatch.OfferedPrefill) []offeredMessage {
-	if len(offered) > maxOffered {
-		offered = slices.Clone(offered)
-		slices.SortFunc(offered, func(a, b dispatch.OfferedPrefill) int { return cmp.Compare(b.Total, a.Total) })
-		offered = offered[:maxOffered]
+func encodeWork(work []dispatch.LongWork) []workMessage {
+	if len(work) > maxWork {
+		work = slices.Clone(work)
+		slices.SortFunc(work, func(a, b dispatch.LongWork) int { return cmp.Compare(b.Arrived.Total(), a.Arrived.Total()) })
+		work = work[:maxWork]
 	}
-	messages := make([]offeredMessage, 0, len(offered))
-	for _, o := range offered {
-		messages = append(messages, offeredMessage{Service: uint32(o.Service), HeavyMS: milliseconds(o.Heavy), TotalMS: milliseconds(o.Total)})
+	messages := make([]workMessage, 0, len(work))
+	for _, w := range work {
+		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending)}
+		for c := range dispatch.LengthClasses {
+			m.Arrived[c], m.Sent[c] = workUnits(w.Arrived[c]), workUnits(w.Sent[c])
+		}
+		messages = append(messages, m)
 	}
 	return messages
 }
 
-// milliseconds returns a duration within the bounds that decodeQueue accepts.
+// milliseconds returns a duration within the bounds that decodeHeld accepts.
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), maxMilliseconds))
 }
 
-func decodeQueue(held []heldMessage, offered []offeredMessage) ([]dispatch.HeldPrompt, []dispatch.OfferedPrefill, error) {
-	if len(held) > maxHeld || len(offered) > maxOffered {
-		return nil, nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("queue too long")}
+// workUnits returns a duration in units of workUnit, rounded, within the bounds that decodeWork accepts.
+func workUnits(d time.Duration) uint32 {
+	return uint32(min(max((d+workUnit/2)/workUnit, 0), maxCount))
+}
+
+func decodeHeld(messages []heldMessage) ([]dispatch.HeldPrompt, error) {
+	if len(messages) > maxHeld {
+		return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("queue too long")}
 	}
-	prompts := make([]dispatch.HeldPrompt, 0, len(held))
-	for _, h := range held {
+	held := make([]dispatch.HeldPrompt, 0, len(messages))
+	for _, h := range messages {
 		if h.WaitedMS > maxMilliseconds || h.PrefillMS > maxMilliseconds {
-			return nil, nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("held prompt out of range")}
+			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("held prompt out of range")}
 		}
-		prompts = append(prompts, dispatch.HeldPrompt{
-			Service: dispatch.Key(h.Service), Route: dispatch.Key(h.Route), Waited: time.Duration(h.WaitedMS) * time.Millisecond,
-			Prefill: time.Duration(h.PrefillMS) * time.Millisecond, Due: h.Due,
+		held = append(held, dispatch.HeldPrompt{
+			Service: dispatch.Key(h.Service), Waited: time.Duration(h.WaitedMS) * time.Millisecond, Prefill: time.Duration(h.PrefillMS) * time.Millisecond,
 		})
 	}
-	services := make([]dispatch.OfferedPrefill, 0, len(offered))
-	for _, o := range offered {
-		if o.HeavyMS > o.TotalMS || o.TotalMS > maxMilliseconds {
-			return nil, nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("offered prefill out of range")}
+	return held, nil
+}
+
+func decodeWork(messages []workMessage) ([]dispatch.LongWork, error) {
+	if len(messages) > maxWork {
+		return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("work of too many services")}
+	}
+	work := make([]dispatch.LongWork, 0, len(messages))
+	for _, m := range messages {
+		if m.PendingMS > maxMilliseconds {
+			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("pending prefill out of range")}
 		}
-		services = append(services, dispatch.OfferedPrefill{
-			Service: dispatch.Key(o.Service), Heavy: time.Duration(o.HeavyMS) * time.Millisecond, Total: time.Duration(o.TotalMS) * time.Millisecond,
-		})
+		w := dispatch.LongWork{Service: dispatch.Key(m.Service), Pending: time.Duration(m.PendingMS) * time.Millisecond}
+		for c := range dispatch.LengthClasses {
+			if m.Arrived[c] > maxCount || m.Sent[c] > maxCount {
+				return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("work out of range")}
+			}
+			w.Arrived[c], w.Sent[c] = time.Duration(m.Arrived[c])*workUnit, time.Duration(m.Sent[c])*workUnit
+		}
+		work = append(work, w)
 	}
-	return prompts, services, nil
+	return work, nil
 }
