dispatch, gateway: a short prompt that comes too late is not sent, held or sent before or not

Callers saw: a short prompt that had been held or sent once was sent again although no engine was expected to begin its answer before its caller gave up. It waited for nothing and took an engine's slot from others.

Cause: RequestProfile.Admitted spared every request from this refusal that had been sent or held before, and every resumed stream. Being sent is no promise to the caller; an answer in time is.

Change: Admitted goes.

Test: TestShortRefusedAtOnce asked that a request that was sent before be sent; it now asks that one that was held be refused. Before, that case was sent.

Conclusion: first tries and repeats are refused alike, at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,8 +18,6 @@
 // RequestProfile describes the cost and the deadlines of a request.
 type RequestProfile struct {
 	Service Key
-	// Admitted is set once the request has been sent or held. A short prompt is not refused after that.
-	Admitted bool
 	// Engine is nil for a plain service.
 	Engine *route.Engine
 	// Prompt and Answer are numbers of tokens; Answer is an estimate.
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -334,8 +334,8 @@
 	}
 }
 
-// Guards against short prompts that wait at engines until their callers give up, although it is known on arrival that no
-// engine begins the answer before that.
+// Guards against short prompts that wait at engines until their callers give up, although it is known that no engine begins the
+// answer before that. It does not matter whether they were sent or held before.
 func TestShortRefusedAtOnce(t *testing.T) {
 	const callerWait = 2400 * time.Millisecond
 	full := dispatch.Load{Short: engine.Slots + 20}
@@ -349,7 +349,7 @@
 		"all engines have long queues":   {[]dispatch.Load{full, full, full}, nil, true},
 		"all engines prefill for long":   {[]dispatch.Load{late, late, late}, nil, true},
 		"one engine is in time":          {[]dispatch.Load{full, late, free}, nil, false},
-		"the request was sent before":    {[]dispatch.Load{full, full}, func(r *dispatch.RequestProfile) { r.Admitted = true }, false},
+		"the request was held before":    {[]dispatch.Load{full, full}, func(r *dispatch.RequestProfile) { r.HoldID = 1 }, true},
 		"the caller waits without limit": {[]dispatch.Load{full, full}, func(r *dispatch.RequestProfile) { r.Deadline = time.Time{} }, false},
 	}
 	for name, tc := range cases {
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -34,7 +34,7 @@
 	}
 	c := &candidates[best]
 	expected := c.total.PendingPrefill + c.slotWait(profile) + profile.PrefillTime() + iterationTime
-	if over := now.Add(expected).Sub(profile.Deadline); over > 0 && !profile.Deadline.IsZero() && !profile.Admitted {
+	if over := now.Add(expected).Sub(profile.Deadline); over > 0 && !profile.Deadline.IsZero() {
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(over, minOverloadedRetry)}
 	}
 	return Send{Server: c.server, Expected: expected, Seen: c.total}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -181,11 +181,8 @@
 	placement := planner.Place(now, profile, q.gateway.roster.InService(q.service), q.tried)
 	switch p := placement.(type) {
 	case dispatch.Hold:
-		q.profile.Admitted = true
 		q.holdID = planner.RecordHold(profile, p)
-	case dispatch.Send, dispatch.JointPrefill:
-		q.profile.Admitted = true
-	case dispatch.NoPlacement:
+	case dispatch.Send, dispatch.JointPrefill, dispatch.NoPlacement:
 	}
 	return placement, planner.RecordPlacement(now, q.profile, placement)
 }
