dispatch: a prompt waits for memory as long as it can be done in time

Callers saw: a prompt larger than one engine's memory was refused after 4 s of 12 s, with 3.5 s as the time to come back, however soon its engines had memory; it lost its place and began from nothing.

Cause: maxEngineHold and retryAfterLarge were fixed. The first one argued from what holding costs, not from the time that the caller has.

Change: the time until engines have memory is predicted from what is missing, what is in use, and how long long prompts have held it lately. The prompt is held while it could be done after that, and refused at once when it could not, with that time as Retry-After. retryAfterLarge stays for a prompt that is larger than all engines together, of which no time is known.

Conclusion: waiting follows from the caller's time and the prediction.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 	sameZoneInterval, otherZoneInterval time.Duration
 	// shortTime is the mean time from the sending of a short prompt to the end of its answer.
 	shortTime time.Duration
+	// longTime is the mean time from the sending of a long prompt to the end of its answer, while it holds memory.
+	longTime time.Duration
 	// unreported is the prefill that gateways have probably sent to an engine of another zone since their last reports.
 	unreported   time.Duration
 	loadsChanged bool
@@ -154,10 +156,11 @@
 }
 
 const (
-	// initialShortTime is the expected time from the sending of a short prompt to the end of its answer before any has
-	// been answered, shortTimeWeight the weight of the newest such time in the mean.
+	// initialShortTime and initialLongTime are the expected times from the sending of a prompt to the end of its answer before
+	// any has been answered, answerTimeWeight the weight of the newest such time in the mean.
 	initialShortTime = 2 * time.Second
-	shortTimeWeight  = 0.05
+	initialLongTime  = 5 * time.Second
+	answerTimeWeight = 0.05
 )
 
 // NewPlanner returns a planner for a gateway in a zone.
@@ -165,7 +168,7 @@
 	p := &Planner{
 		zone: zone, random: rand.New(rand.NewPCG(1, 2)), states: map[Key]*serverState{}, requests: map[PlacementID]*placedRequest{},
 		peers: map[string]peerReport{}, peerLoads: map[Key]*peerLoad{}, gateways: 1,
-		queue: newLongQueue(), shortTime: initialShortTime,
+		queue: newLongQueue(), shortTime: initialShortTime, longTime: initialLongTime,
 	}
 	for _, o := range options {
 		o(p)
@@ -337,8 +340,12 @@
 	} else {
 		first.own.Long--
 	}
-	if _, answered := o.(Answered); answered && r.short {
-		p.shortTime += time.Duration(shortTimeWeight * float64(now.Sub(r.placedAt)-p.shortTime))
+	if _, answered := o.(Answered); answered {
+		mean := &p.longTime
+		if r.short {
+			mean = &p.shortTime
+		}
+		*mean += scale(now.Sub(r.placedAt)-*mean, answerTimeWeight)
 	}
 	first.recordOutcome(now, o)
 	for i, st := range r.servers {
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -26,9 +26,6 @@
 	// minPart is the shortest part of a joint prefill; shorter parts save nothing compared with the duration of an
 	// iteration.
 	minPart = 60 * time.Millisecond
-	// maxEngineHold is how long a prompt is held for engines with memory and without short requests before it is
-	// refused, early enough for its caller to try again.
-	maxEngineHold = 4 * time.Second
 	// maxPart is the longest part of a joint prefill on one engine when more engines are free. Longer parts make the
 	// streams of other long prompts late.
 	maxPart = 400 * time.Millisecond
@@ -85,7 +82,7 @@
 		}
 	}
 	if len(chosen) == 0 {
-		return placeWithoutEngines(now, profile, candidates, engines)
+		return p.placeWithoutEngines(now, profile, candidates, engines)
 	}
 	if mayWait {
 		if placement, waits := awaitTurn(now, profile, t, candidates, expected); waits {
@@ -197,8 +194,9 @@
 }
 
 // placeWithoutEngines decides on a prompt for which no set of engines is available now. engines is the number in
-// service, which includes engines that are avoided for a while.
-func placeWithoutEngines(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
+// service, which includes engines that are avoided for a while. The prompt is held as long as it could be done before its deadline
+// once the memory that it lacks is free.
+func (p *Planner) placeWithoutEngines(now time.Time, profile RequestProfile, candidates []candidate, engines int) Placement {
 	tokens := profile.Prompt + profile.Answer
 	maxTokens := plannedMemoryShare * float64(profile.Engine.KVCacheTokens) * float64(min(engines, maxJointEngines))
 	if float64(tokens) > maxTokens {
@@ -208,10 +206,34 @@
 	if hasMemory, _ := choosePrefillEngines(profile.PrefillTime(), candidates, 0, profile.memoryFilter()); len(hasMemory) > 0 {
 		holdReason, reason = HoldShort, Overloaded
 	}
-	if now.Add(deadlineMargin).Before(profile.Deadline) && now.Before(profile.TargetTime.Add(maxEngineHold-profile.Target)) {
-		return hold(holdReason, candidates, 0)
+	wait := p.memoryWait(profile, candidates)
+	needed := wait + profile.fastestPrefill() + deadlineMargin
+	if over := now.Add(needed).Sub(profile.Deadline); over > 0 {
+		return NoPlacement{Reason: reason, RetryAfter: max(wait, over, minOverloadedRetry)}
 	}
-	return NoPlacement{Reason: reason, RetryAfter: retryAfterLarge}
+	return hold(holdReason, candidates, wait)
+}
+
+// memoryWait returns the time until engines have memory for a prompt, if the requests that they serve end evenly over the
+// time that long ones have taken lately.
+func (p *Planner) memoryWait(profile RequestProfile, candidates []candidate) time.Duration {
+	used := make([]int64, 0, len(candidates))
+	for i := range candidates {
+		used = append(used, candidates[i].total.Memory)
+	}
+	slices.Sort(used)
+	used = used[:min(len(used), maxJointEngines)]
+	limit := int64(plannedMemoryShare * float64(profile.Engine.KVCacheTokens))
+	missing := profile.Prompt + profile.Answer + int64(len(used))*ReserveSlack
+	var sum int64
+	for _, u := range used {
+		missing -= limit - u
+		sum += u
+	}
+	if missing <= 0 || sum == 0 {
+		return 0
+	}
+	return scale(p.longTime, min(float64(missing)/float64(sum), 1))
 }
 
 // compareAnswerEngines orders engines by suitability for generating the answer to a prompt: first those with memory
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -43,8 +43,8 @@
 const (
 	// retryAfterNoServer applies to a service without backend servers.
 	retryAfterNoServer = 500 * time.Millisecond
-	// retryAfterLarge is the time in which engines may become free for a heavy prompt, or memory for a prompt larger
-	// than one engine's memory.
+	// retryAfterLarge is the time in which engines may be added for a prompt larger than the memory of all of them. Nothing
+	// is known of when that is.
 	retryAfterLarge = 3500 * time.Millisecond
 	// retryAfterCold and retryAfterTried are the times after which a cold or a refusing backend server may accept a
 	// request.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -79,7 +79,7 @@
 	AllBusy Reason = "all-busy"
 	// Overloaded means that the request cannot be served before its deadline.
 	Overloaded Reason = "overloaded"
-	// NoMemory means that the request has been held for memory for as long as allowed.
+	// NoMemory means that engines will probably not have memory for the request in time.
 	NoMemory Reason = "no-memory"
 	// EndsTooLate means that the answer would probably not be complete before the gateway ends.
 	EndsTooLate Reason = "ends-too-late"
