gateway: a stopping gateway serves what it can complete

Callers saw: a request that may run twice and takes some milliseconds was refused up to 3.7 s before the end of a stop, because its time limit was longer than what was left, although its answer would have been there at once (TestStopServesWhatCanEnd: 503 7 s after the stop, 200 now).

Cause: idempotentCutoff was a fixed figure beside the predicted completion (CompleteBy), which decides when the request is placed.

Change: idempotentCutoff goes. Requests that must not run twice are refused as before, by their time limit: a failure of them cannot be repaired. streamCutoff and readinessNotice keep their values and are now derived from what load balancers do: a question a second, two misses, a second for a connection. A stream that comes later than that is better served by the gateway that its caller's next try reaches, where nothing cuts it if its engine is slower than predicted.

Conclusion: the end of a stop follows from predictions, time limits and load balancers.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -12,19 +12,21 @@
 const (
 	// stopPollInterval is the pause between checks for running requests during a shutdown.
 	stopPollInterval = 50 * time.Millisecond
-	// readinessNotice is how long a gateway that is shutting down keeps serving, so that load balancers have time to
-	// see that it is not ready.
-	readinessNotice = 4 * time.Second
+	// Load balancers ask for readiness every readinessInterval and give no new connections to a gateway that has missed
+	// readinessMisses in a row. A caller gets the connection that it has asked for within connectTime.
+	readinessInterval = time.Second
+	readinessMisses   = 2
+	connectTime       = time.Second
+	// readinessNotice is how long a gateway that is shutting down keeps serving: until load balancers send callers
+	// elsewhere, although one question is lost, and the last callers that they sent here have their connection.
+	readinessNotice = (readinessMisses+1)*readinessInterval + connectTime
 	// stopMargin is subtracted from ShutdownTimeout, so that the shutdown ends before the platform kills the process.
 	stopMargin = 200 * time.Millisecond
 	// answerMargin is the time before the end of a shutdown in which callers of requests that could not end are answered.
 	answerMargin = 200 * time.Millisecond
-	// streamCutoff is how long after the start of a shutdown new streams are accepted. Later ones might not end in
-	// time.
-	streamCutoff = 2500 * time.Millisecond
-	// idempotentCutoff is how long before the end of a shutdown idempotent plain requests may be refused at the earliest,
-	// however long their timeout is. Most of them end much sooner, and their callers may send them again.
-	idempotentCutoff = 3700 * time.Millisecond
+	// streamCutoff is how long after the start of a shutdown new streams are accepted: until the next try of their callers
+	// reaches another gateway, where nothing cuts them if their engine is slower than predicted.
+	streamCutoff = readinessMisses*readinessInterval + readinessInterval/2
 )
 
 // shutdownTimes are the times of a planned shutdown.
@@ -135,7 +137,8 @@
 }
 
 // refusesWhileStopping reports whether a gateway that is shutting down refuses a new request because it might not end in time.
-// A plain request may last as long as its timeout.
+// One that must not run twice may last as long as its timeout, since a failure could not be repaired by another send. For others
+// the predicted completion decides when they are placed.
 func (g *Gateway) refusesWhileStopping(r *route.Route, timeout time.Duration) bool {
 	times := g.shutdown.times.Load()
 	if times == nil {
@@ -150,7 +153,7 @@
 	case route.Stream:
 		return now.Sub(times.began) > streamCutoff
 	case route.Safe:
-		return left < min(timeout, idempotentCutoff)
+		return false
 	case route.Unsafe:
 	}
 	return left < timeout
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -172,6 +172,25 @@
 	})
 }
 
+// Guards against callers who are sent away by a stopping gateway that could answer them in time: a request that may run twice and
+// takes some milliseconds is served until the end, whatever its time limit.
+func TestStopServesWhatCanEnd(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		// A request that goes on keeps the gateway from stopping sooner.
+		h.setFaults("pool", direct.Pauses{After: 2, For: time.Minute}, direct.Pauses{After: 2, For: time.Minute})
+		go h.call(http.MethodPost, "/review/a", func(c *gateway.CallerRequest) { c.Timeout = 15 * time.Second })
+		time.Sleep(time.Second)
+		stopped, began := make(chan error, 1), time.Now()
+		go func() { stopped <- h.gateway.Stop(t.Context()) }()
+		for _, after := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second} {
+			time.Sleep(after - time.Since(began))
+			got := h.call(http.MethodGet, "/look/a", func(c *gateway.CallerRequest) { c.Timeout = 5 * time.Second })
+			assert.Check(t, got.Status == http.StatusOK && got.complete, "%v after the stop: status %d", after, got.Status)
+		}
+		assert.NilError(t, <-stopped)
+	})
+}
+
 // Guards against streams that a stopping gateway takes from a silent engine, because another one could complete them in time, and
 // then cuts, because by then the others that it has moved have taken that engine's time.
 func TestStopKeepsStreamsItMoves(t *testing.T) {
