dispatch: a call of a plain service leaves its zone only if it gains time

Callers saw: calls of a plain service crossed zones for a server with one request less, which gains them nothing: the way there and back takes 2.8 ms, and a server with 6 slots ends a request of 15 ms every 2.5 ms.

Cause: otherZoneCost, 0.12 of a server's slots, had no reason in the caller's time, and meant another number of requests at each server size.

Change: a server of another zone counts with one request more, and of equal ones one of the gateway's zone is chosen. Servers elsewhere are still used when the own ones fail, are avoided or have two requests more.

Test: TestPlainCallsAcrossZones; "one less elsewhere" and "full, one less there" fail before.

Conclusion: the choice follows from latency.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -146,21 +146,24 @@
 	return rank
 }
 
-// otherZoneCost is the cost of sending to another zone, as a share of a plain backend server's slots.
-const otherZoneCost = 0.12
+// otherZoneRequests is the number of requests that a plain backend server of another zone counts with beyond its own. The way
+// between zones and back takes about as long as a server with several slots takes to end one request, so a caller gains
+// nothing from another zone unless a server there has more than one request less.
+const otherZoneRequests = 1
 
-// placePlain chooses the backend server with the fewest requests per slot; one in another zone has an extra cost.
+// placePlain chooses the backend server with the fewest requests per slot, and of equal ones one in the gateway's zone.
 func (p *Planner) placePlain(candidates []candidate) Placement {
 	best, bestCost := 0, 0.0
 	offset := p.random.IntN(len(candidates))
 	for n := range candidates {
 		i := (n + offset) % len(candidates)
 		c := &candidates[i]
-		cost := float64(c.requests()) / float64(max(c.server.Slots, 1))
-		if c.server.Zone != p.zone {
-			cost += otherZoneCost
+		requests, elsewhere := c.requests(), c.server.Zone != p.zone
+		if elsewhere {
+			requests += otherZoneRequests
 		}
-		if n == 0 || cost < bestCost {
+		cost := float64(requests) / float64(max(c.server.Slots, 1))
+		if n == 0 || cost < bestCost || cost == bestCost && !elsewhere && candidates[best].server.Zone != p.zone {
 			best, bestCost = i, cost
 		}
 	}
--- a/internal/dispatch/zone_test.go
+++ b/internal/dispatch/zone_test.go
@@ -172,3 +172,38 @@
 		}
 	}
 }
+
+// Guards against calls of plain services that go to another zone for nothing: the way there and back takes as long as the wait
+// behind one more request here.
+func TestPlainCallsAcrossZones(t *testing.T) {
+	cases := map[string]struct {
+		own, elsewhere int // requests at the servers of the gateway's zone and of others
+		inZone         bool
+	}{
+		"idle":                    {0, 0, true},
+		"one less elsewhere":      {3, 2, true},
+		"full, one less there":    {6, 5, true},
+		"two less elsewhere":      {4, 2, false},
+		"full, others are idle":   {6, 0, false},
+		"more requests elsewhere": {2, 5, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				p, list := newPlanner(seed), newServers(6)
+				var loads []dispatch.Load
+				for _, s := range list {
+					l := dispatch.Load{Key: dispatch.BackendKey(s), Short: tc.elsewhere}
+					if s.Zone == "z-0" {
+						l.Short = tc.own
+					}
+					loads = append(loads, l)
+				}
+				p.SetPeerLoads(start, "other", loads)
+				send, ok := p.Place(start, plainProfile(), list, nil).(dispatch.Send)
+				assert.Assert(t, ok)
+				assert.Equal(t, send.Server.Zone == "z-0", tc.inZone, "seed %d: %s", seed, send.Server.Zone)
+			}
+		})
+	}
+}
