gateway, docs: what the store is spared for

The pauses and waits of watches are as before. Their comments gave the charge for calls as the reason; the reason is that the store answers a limited number of reads a second over all readers, and turns away the rest.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -7,7 +7,8 @@
 	"github.com/go-faster/errors"
 )
 
-// The gateways of a zone share the cost of proving that their routing table is the latest version. The one with the
+// The gateways of a zone share the work of proving that their routing table is the latest version, because the store answers
+// a limited number of reads a second over all readers, and a gateway that is turned away serves no keyed requests. The one with the
 // lowest rank watches the store with a short wait and tells the others at what time which revision was the latest. The
 // others watch with a long wait. A watch with a long wait is cut short when the proofs of others do not arrive or show
 // that this gateway has missed a change.
@@ -17,7 +18,7 @@
 	provingWait = 750 * time.Millisecond
 	// longWait is the wait of the other gateways.
 	longWait = 15 * time.Second
-	// smallGroupWait is the wait in groups of at most smallGroupSize gateways, whose calls cost little in total.
+	// smallGroupWait is the wait in groups of at most smallGroupSize gateways, which make few calls in total.
 	smallGroupWait = 900 * time.Millisecond
 	smallGroupSize = 4
 	// recoveryWait is the wait of the first watch after a failure, and after a watch was cut short. It is short so that
@@ -31,9 +32,10 @@
 	maxStaggered = 4
 	// behindLimit is how long another gateway may have seen a later revision before a watch is cut short.
 	behindLimit = 300 * time.Millisecond
-	// After a watch that returned changes, there is a pause, because changes come in groups and every call of every
-	// gateway is charged. It grows with the group by batchPausePerGateway, up to maxBatchPause and to
-	// batchPauseShare of the time in which changes must be in force.
+	// After a watch that returned changes, there is a pause, because changes come in groups: all gateways call at the
+	// same time after each of them, and the store turns away calls beyond its rate over all readers. The pause grows with
+	// the group by batchPausePerGateway, up to maxBatchPause and to batchPauseShare of the time in which changes must be in
+	// force.
 	minBatchPause        = 250 * time.Millisecond
 	batchPausePerGateway = 6 * time.Millisecond
 	maxBatchPause        = time.Second
