lengths, gateway, report: prompts are counted by bands of doubled length

What operators saw: shares of the longest tenth and of the fifth below it, in the status, in berylward prompts and in a log line at the end of a stop.

Cause: the two bands follow from how outcomes are counted elsewhere, not from a question of an engineer on call.

--- a/internal/command/prompts.go
+++ b/internal/command/prompts.go
@@ -13,9 +13,8 @@
 	return &cobra.Command{
 		Use:   "prompts LOG...",
 		Short: "Report how many prompts of different lengths were answered, from the logs of gateways",
-		Long: "Report by route how many prompts were answered: of all, of the longest tenth, and of the fifth below it. The\n" +
-			"ratio compares the share of a part with the share of all. A request that its caller repeated counts once, if\n" +
-			"the logs of all gateways are given.",
+		Long: "Report by route how many prompts were answered: of all, and by length in bands of doubled length. A request\n" +
+			"that its caller repeated counts once, if the logs of all gateways are given.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			l := report.NewLengths()
--- a/internal/gateway/prompt_metrics.go
+++ b/internal/gateway/prompt_metrics.go
@@ -11,28 +11,6 @@
 	"berylward.example/berylward/internal/lengths"
 )
 
-// promptBands are the ranges of prompt length by which requests are counted, in tokens. Their number is fixed, so that
-// callers cannot add metrics.
-var promptBands = []struct {
-	maxTokens int64
-	name      string
-}{
-	{8_000, "8k"}, {32_000, "32k"}, {64_000, "64k"}, {128_000, "128k"}, {192_000, "192k"}, {256_000, "256k"},
-	{384_000, "384k"}, {512_000, "512k"},
-}
-
-// longestBand is the name of the range above the last of promptBands.
-const longestBand = "longer"
-
-func bandName(tokens int64) string {
-	for _, b := range promptBands {
-		if tokens <= b.maxTokens {
-			return b.name
-		}
-	}
-	return longestBand
-}
-
 // outcomeClass returns an outcome without the reason of a refusal or failure.
 func outcomeClass(outcome string) string {
 	for _, class := range []string{"refused", "failed"} {
@@ -70,7 +48,7 @@
 		r = &routePrompts{counters: map[string]int64{}}
 		m.routes.Add(route, r)
 	}
-	prefix := route + "/" + bandName(tokens) + "/"
+	prefix := route + "/" + lengths.BandName(tokens) + "/"
 	r.counters[prefix+outcomeClass(outcome)]++
 	if held > 0 {
 		r.counters[prefix+"held"]++
@@ -103,12 +81,12 @@
 	return shares
 }
 
-// logPromptShares logs by route how many prompts of different lengths were answered, so that a route whose longest prompts
-// are refused more often than the others is seen.
+// logPromptShares logs by route and length how many prompts were answered, so that a length that is refused more often than the
+// others is seen.
 func (g *Gateway) logPromptShares() {
 	for route, s := range g.metrics.prompts.shares() {
-		g.log.Info("prompts by length", "route", route, "all", s.All.All, "answered", s.All.Answered,
-			"longest-tenth", s.LongestTenth.All, "longest-tenth-answered", s.LongestTenth.Answered,
-			"fifth-below", s.FifthBelow.All, "fifth-below-answered", s.FifthBelow.Answered)
+		for _, band := range s.Bands {
+			g.log.Info("prompts by length", "route", route, "length", band.Name, "all", band.All, "answered", band.Answered)
+		}
 	}
 }
--- a/internal/lengths/lengths.go
+++ b/internal/lengths/lengths.go
@@ -1,104 +1,79 @@
-// Package lengths counts prompts by their length and tells whether the longest ones of a route are answered as often as
-// the others. A Histogram is owned by its caller, takes a bounded amount of memory, and does no input or output.
+// Package lengths counts prompts by their length and tells how many of each length were answered. A Histogram is owned by
+// its caller, takes a bounded amount of memory, and does no input or output.
 package lengths
 
 import (
-	"math"
-	"slices"
+	"fmt"
+	"math/bits"
 )
 
 const (
-	// bucketsPerOctave is the number of buckets for each doubling of the length. Bounds of neighboring buckets differ by
-	// about 4 %.
-	bucketsPerOctave = 16
-	// maxBucket is the bucket of all prompts from 16 million tokens on.
-	maxBucket = 24 * bucketsPerOctave
+	// minBand is the upper bound in tokens of the shortest band; each further band ends at twice the length.
+	minBand = 8_000
+	// bands is the number of bands with an upper bound; the longest of them ends at 1,024,000 tokens.
+	bands = 8
 )
 
 // Share is the number of prompts that were answered and the number of all.
 type Share struct {
-	Answered float64 `json:"answered"`
-	All      float64 `json:"all"`
+	Answered int64 `json:"answered"`
+	All      int64 `json:"all"`
 }
 
-// Ratio returns the answered part, and 1 if there are no prompts.
-func (s Share) Ratio() float64 {
-	if s.All == 0 {
-		return 1
+// add counts a prompt.
+func (s *Share) add(answered bool) {
+	s.All++
+	if answered {
+		s.Answered++
 	}
-	return s.Answered / s.All
 }
 
-// Against returns the ratio of the share to that of all prompts, and 1 if no prompt was answered.
-func (s Share) Against(all Share) float64 {
-	if all.Ratio() == 0 {
-		return 1
-	}
-	return s.Ratio() / all.Ratio()
+// Band is the share of the prompts of a range of lengths.
+type Band struct {
+	// Name is the upper bound in thousands of tokens, as "64k", and "longer" for the band without one.
+	Name string `json:"name"`
+	Share
 }
 
-// Shares tells how many prompts of different lengths were answered: of all, of the longest tenth, and of the fifth below
-// it. The parts of a tenth and a fifth may be fractions, because prompts of one bucket are not told apart.
+// Shares tells how many prompts were answered, of all and by length from the shortest band to the longest. Bands without
+// prompts are left out.
 type Shares struct {
-	All          Share `json:"all"`
-	LongestTenth Share `json:"longest-tenth"`
-	FifthBelow   Share `json:"fifth-below"`
+	All   Share  `json:"all"`
+	Bands []Band `json:"bands"`
 }
 
 // Histogram counts prompts by length. The zero value is empty and ready to use.
 type Histogram struct {
-	buckets map[int]Share
+	counts [bands + 1]Share
 }
 
 // Record counts a prompt of a number of tokens.
-func (h *Histogram) Record(tokens int64, answered bool) {
-	if h.buckets == nil {
-		h.buckets = map[int]Share{}
-	}
-	i := bucketOf(tokens)
-	s := h.buckets[i]
-	s.All++
-	if answered {
-		s.Answered++
-	}
-	h.buckets[i] = s
-}
-
-func bucketOf(tokens int64) int {
-	return min(int(bucketsPerOctave*math.Log2(float64(max(tokens, 1)))), maxBucket)
-}
+func (h *Histogram) Record(tokens int64, answered bool) { h.counts[bandOf(tokens)].add(answered) }
 
 // Shares returns the shares of the prompts counted so far.
 func (h *Histogram) Shares() Shares {
 	var s Shares
-	for _, b := range h.buckets {
-		s.All.Answered += b.Answered
-		s.All.All += b.All
+	for band, share := range h.counts {
+		if share.All == 0 {
+			continue
+		}
+		s.All.All += share.All
+		s.All.Answered += share.Answered
+		s.Bands = append(s.Bands, Band{Name: bandName(band), Share: share})
 	}
-	tenth := s.All.All / 10
-	s.LongestTenth = h.between(0, tenth)
-	s.FifthBelow = h.between(tenth, 3*tenth)
 	return s
 }
 
-// between returns the share of the prompts from one position to another in the order from the longest to the shortest.
-func (h *Histogram) between(from, to float64) Share {
-	indices := make([]int, 0, len(h.buckets))
-	for i := range h.buckets {
-		indices = append(indices, i)
-	}
-	slices.Sort(indices)
-	slices.Reverse(indices)
-	var part Share
-	position := 0.0
-	for _, i := range indices {
-		b := h.buckets[i]
-		overlap := min(to, position+b.All) - max(from, position)
-		if overlap > 0 {
-			part.All += overlap
-			part.Answered += overlap * b.Ratio()
-		}
-		position += b.All
+// BandName returns the name of the band of prompts of a number of tokens.
+func BandName(tokens int64) string { return bandName(bandOf(tokens)) }
+
+func bandOf(tokens int64) int {
+	return min(bits.Len64(uint64(max(tokens-1, 0))/minBand), bands)
+}
+
+func bandName(band int) string {
+	if band == bands {
+		return "longer"
 	}
-	return part
+	return fmt.Sprintf("%dk", minBand<<band/1000)
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -111,12 +111,9 @@
 // Text formats shares as one line for people.
 func Text(s lengths.Shares) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "answered %.0f of %.0f", s.All.Answered, s.All.All)
-	for _, part := range []struct {
-		name  string
-		share lengths.Share
-	}{{"longest tenth", s.LongestTenth}, {"fifth below", s.FifthBelow}} {
-		fmt.Fprintf(&b, ", %s %.1f of %.1f (ratio %.2f)", part.name, part.share.Answered, part.share.All, part.share.Against(s.All))
+	fmt.Fprintf(&b, "answered %d of %d", s.All.Answered, s.All.All)
+	for _, band := range s.Bands {
+		fmt.Fprintf(&b, ", %s: %d of %d", band.Name, band.Answered, band.All)
 	}
 	return b.String()
 }
