gateway: a silent attempt is given up only for a server that can begin in time

Cause: maySendElsewhere asked whether another server could complete the answer only during a stop. At other times the move was made, and the placement of the next attempt found that it comes too late.

Change: the same question is asked at all times.

--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -71,15 +71,12 @@
 	}
 	return left > 0 && !g.requests.Quarantined(now, q.fingerprint) && slices.ContainsFunc(g.roster.InService(q.service), func(s *roster.Server) bool {
 		return s.ID != a.server.ID && !slices.Contains(q.tried, s.ID) && g.planner.BusyFor(now, s) == 0
-	}) && q.completesElsewhere(now, a)
+	}) && q.servedElsewhere(now, a)
 }
 
-// completesElsewhere reports whether another backend server could complete the answer before the end of a shutdown, if there
-// is one. It must be called with the gateway's lock held.
-func (q *request) completesElsewhere(now time.Time, a *attempt) bool {
-	if q.completeBy().IsZero() {
-		return true
-	}
+// servedElsewhere reports whether another backend server could take the request now and begin in time, and complete the answer
+// before the end of a shutdown, if there is one. It must be called with the gateway's lock held.
+func (q *request) servedElsewhere(now time.Time, a *attempt) bool {
 	g := q.gateway
 	tried := append(slices.Clone(q.tried), a.server.ID)
 	profile := q.currentProfile()
--- a/internal/lengths/lengths.go
+++ b/internal/lengths/lengths.go
@@ -68,7 +68,7 @@
 func BandName(tokens int64) string { return bandName(bandOf(tokens)) }
 
 func bandOf(tokens int64) int {
-	return min(bits.Len64(uint64(max(tokens-1, 0))/minBand), bands)
+	return min(bits.Len64(uint64(max(tokens, 1)-1)/minBand), bands)
 }
 
 func bandName(band int) string {
