prompt: Retry-After of a full table says when there is room

Callers saw: a sidecar whose table of ended requests was full told them to come back in 3 s, the lifetime of a grant, whenever there would be room. TestRetryAfterFullTable is told 3 s before and 18 s now, which is when the oldest record is dropped.

Cause: a fixed figure where the time is known, as in the gateway's hold for memory.

Change: the time until the oldest record is dropped; none is told while all places are taken by live requests.

--- a/internal/prompt/ended.go
+++ b/internal/prompt/ended.go
@@ -69,6 +69,15 @@
 	e.records = append(e.records, endRecord{id: id, endedAt: now})
 }
 
+// roomAfter returns the time until the oldest record is dropped and there is room for another one; zero if there is none, so
+// that the time is not known.
+func (e *endedRequests) roomAfter(now time.Time) time.Duration {
+	if len(e.records) == 0 {
+		return 0
+	}
+	return max(e.records[0].endedAt.Add(e.retention).Sub(now), 0)
+}
+
 func (e *endedRequests) expire(now time.Time) {
 	n := 0
 	for n < len(e.records) && now.Sub(e.records[n].endedAt) >= e.retention {
--- a/internal/prompt/scheduler.go
+++ b/internal/prompt/scheduler.go
@@ -171,7 +171,7 @@
 	}
 	// Each live request leaves a record when it ends, so space for the record is set aside at admission.
 	if len(s.requests)+len(s.ended.records) >= s.ended.limit {
-		return Refuse{Reason: answer.ReasonOverloaded, RetryAfter: grantLifetime}
+		return Refuse{Reason: answer.ReasonOverloaded, RetryAfter: s.ended.roomAfter(now)}
 	}
 	if len(s.queues[req.class]) == 0 && s.hasPrefillRoom(req.class) && s.fits(req) {
 		s.admit(req)
--- a/internal/prompt/scheduler_test.go
+++ b/internal/prompt/scheduler_test.go
@@ -28,6 +28,16 @@
 	return NewScheduler(reservations, worker.NewWindow(limits, limits), opts...)
 }
 
+// Guards against a caller who is told to come back at a time that has nothing to do with when there is room for its request: the
+// table of ended requests has room again when its oldest record is dropped.
+func TestRetryAfterFullTable(t *testing.T) {
+	s := newTestScheduler(WithTombstones(2, 30*time.Second))
+	s.Cancel(epoch, testID(8))
+	s.Offer(epoch.Add(10*time.Second), request(9, 1000, 30, time.Minute))
+	got := s.Offer(epoch.Add(12*time.Second), request(1, 1000, 30, time.Minute))
+	assert.Equal(t, got, AdmissionDecision(Refuse{Reason: answer.ReasonOverloaded, RetryAfter: 18 * time.Second}))
+}
+
 // TestOffer guards against queueing a request that cannot finish in time, and against a decision that claims more or
 // less than the scheduler knows.
 func TestOffer(t *testing.T) {
