dispatch: no time to come back of centuries for a request without a deadline

A stream of which its caller has a part has no deadline for its first event. When no engine had memory for it, the time to come back was the distance to the zero time (since; TestNoMemoryWithoutDeadline: 2562047h47m16s before). Such a request fails and its caller is told no time, so nobody saw it.

--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -207,6 +207,9 @@
 		holdReason, reason = HoldShort, Overloaded
 	}
 	wait := p.memoryWait(profile, candidates)
+	if profile.Deadline.IsZero() {
+		return NoPlacement{Reason: reason, RetryAfter: max(wait, minOverloadedRetry)}
+	}
 	needed := wait + profile.fastestPrefill() + deadlineMargin
 	if over := now.Add(needed).Sub(profile.Deadline); over > 0 {
 		return NoPlacement{Reason: reason, RetryAfter: max(wait, over, minOverloadedRetry)}
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -331,6 +331,21 @@
 	}
 }
 
+// Guards against a time to come back of centuries for a request that is never held, since its caller has a part of the answer.
+func TestNoMemoryWithoutDeadline(t *testing.T) {
+	p, list := newPlanner(1), newServers(20)
+	var loads []dispatch.Load
+	for _, s := range list {
+		loads = append(loads, dispatch.Load{Key: dispatch.BackendKey(s), Long: 1, Memory: 290_000})
+	}
+	p.SetPeerLoads(start, "other", loads)
+	profile := longProfile(450_000)
+	profile.TargetTime, profile.Deadline = time.Time{}, time.Time{}
+	refusal, ok := p.Place(start, profile, list, nil).(dispatch.NoPlacement)
+	assert.Assert(t, ok)
+	assert.Assert(t, refusal.RetryAfter <= 5*time.Second, "%v", refusal.RetryAfter)
+}
+
 // Guards against gateways of a large group that send long prompts to the same engines of another zone, because their last
 // reports of it are old.
 func TestLongPromptsByAgeOfReports(t *testing.T) {
