dispatch: refused prompts do not move the order of the others

Callers saw: a prompt was sent, or held, depending on whether longer prompts had been refused before it, with the same queue and engines: TestRefusalsOfOthersDoNotMoveTheOrder finds "sent" after none and "held: turn" after 30 refusals, on.

Cause: compared what was sent of each length with what had arrived.

Change: only prompts that were held or sent count. RecordArrival goes.

The shares by length keep their bounds and hold.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -282,6 +282,9 @@
 		return 0
 	}
 	if !r.short {
+		if profile.HoldID == 0 {
+			p.queue.recordAdmission(now, profile)
+		}
 		p.queue.ownWorkOf(now, r.service).sent.Add(profile.PrefillTime(), profile.PrefillTime())
 	}
 	for i, st := range r.servers {
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -144,7 +144,6 @@
 func (c *caller) send(now time.Time, gateway *dispatch.Planner, timeout time.Duration) {
 	c.gateway, c.nextTry = gateway, now
 	c.profile.TargetTime, c.profile.Deadline, c.profile.HoldID = now.Add(c.profile.Target), now.Add(timeout), 0
-	gateway.RecordArrival(now, c.profile)
 }
 
 // tryAll places the prompts that wait.
@@ -164,7 +163,7 @@
 	id := c.gateway.RecordPlacement(now, c.profile, placement)
 	switch p := placement.(type) {
 	case dispatch.Hold:
-		c.nextTry, c.profile.HoldID = now.Add(p.Delay), c.gateway.RecordHold(c.profile, p)
+		c.nextTry, c.profile.HoldID = now.Add(p.Delay), c.gateway.RecordHold(now, c.profile, p)
 		return false
 	case dispatch.NoPlacement:
 		c.gateway.EndHold(c.profile.HoldID)
@@ -241,43 +240,63 @@
 	return float64(served) / float64(len(callers))
 }
 
+// overloads are the cases of an overload that lasts.
+var overloads = map[string]overload{
+	"at capacity":           {engines: 24, gateways: 5, load: 1, shortPerSecond: 10},
+	"half above capacity":   {engines: 24, gateways: 5, load: 1.5},
+	"twice the capacity":    {engines: 24, gateways: 5, load: 2},
+	"many gateways":         {engines: 24, gateways: 12, load: 1.2},
+	"one gateway":           {engines: 24, gateways: 1, load: 1.2},
+	"a third of them lost":  {engines: 36, gateways: 5, load: 0.8, lostEngines: 12},
+	"beside short requests": {engines: 24, gateways: 5, load: 0.8, shortPerSecond: 60},
+}
+
+// playOverload returns the callers of long prompts of all seeds.
+func playOverload(o overload) []*caller {
+	var long []*caller
+	for seed := range *overloadSeeds {
+		r := newOverloadRun(o, *firstOverloadSeed+seed)
+		r.play()
+		long = append(long, r.long...)
+	}
+	return long
+}
+
 // Guards against an overload in which the long prompts that are refused are always the longest, however long they wait
 // and however often they return.
 func TestRefusedLongPromptsAreTheLongest(t *testing.T) {
-	cases := map[string]overload{
-		"at capacity":           {engines: 24, gateways: 5, load: 1, shortPerSecond: 10},
-		"half above capacity":   {engines: 24, gateways: 5, load: 1.5},
-		"twice the capacity":    {engines: 24, gateways: 5, load: 2},
-		"many gateways":         {engines: 24, gateways: 12, load: 1.2},
-		"one gateway":           {engines: 24, gateways: 1, load: 1.2},
-		"a third of them lost":  {engines: 36, gateways: 5, load: 0.8, lostEngines: 12},
-		"beside short requests": {engines: 24, gateways: 5, load: 0.8, shortPerSecond: 60},
-	}
-	for name, o := range cases {
+	for name, o := range overloads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var long []*caller
-			for seed := range *overloadSeeds {
-				r := newOverloadRun(o, *firstOverloadSeed+seed)
-				r.play()
-				long = append(long, r.long...)
-			}
-			var refusedAfter []time.Duration
-			for _, c := range long {
-				refusedAfter = append(refusedAfter, c.refusedAfter...)
-			}
-			slices.Sort(refusedAfter)
+			long := playOverload(o)
 			slices.SortFunc(long, func(a, b *caller) int { return cmp.Compare(b.profile.Prompt, a.profile.Prompt) })
 			n := len(long)
 			all, tenth, fifth := servedShare(long), servedShare(long[:n/10]), servedShare(long[n/10:n/10+n/5])
 			t.Logf("%d prompts: all %.2f, largest tenth %.2f, fifth below %.2f", n, all, tenth, fifth)
 			assert.Check(t, tenth >= 0.7*all, "largest tenth: %.2f of %.2f", tenth, all)
 			assert.Check(t, fifth >= 0.8*all, "fifth below: %.2f of %.2f", fifth, all)
-			// Prompts that cannot be served are refused at once, not after they have been held, but for a fifth of them, or one
-			// prompt in a hundred where next to none is refused.
+		})
+	}
+}
+
+// Guards against prompts that cannot be served and are told so only after they have been held.
+func TestRefusedAtOnce(t *testing.T) {
+	for name, o := range overloads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			long := playOverload(o)
+			var refusedAfter []time.Duration
+			for _, c := range long {
+				refusedAfter = append(refusedAfter, c.refusedAfter...)
+			}
+			if len(refusedAfter) == 0 {
+				return
+			}
+			slices.Sort(refusedAfter)
 			atOnce, _ := slices.BinarySearch(refusedAfter, overloadTick+1)
-			late := len(refusedAfter) - atOnce
+			late, n := len(refusedAfter)-atOnce, len(long)
 			t.Logf("%d refused, %d of them after they were held", len(refusedAfter), late)
+			assert.Check(t, refusedAfter[len(refusedAfter)/2] <= overloadTick, "median %v", refusedAfter[len(refusedAfter)/2])
 			assert.Check(t, late <= max(len(refusedAfter)/5, n/100), "%d of %d refusals of %d prompts are late", late, len(refusedAfter), n)
 		})
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// workMemory is the time constant with which the prefill that has arrived or was sent is forgotten.
+// workMemory is the time constant with which the prefill that was admitted or sent is forgotten.
 const workMemory = 10 * time.Second
 
 // HoldID identifies a held request until it is sent or ends.
@@ -21,20 +21,20 @@
 // LongWork is the prefill of the long prompts for a service at a gateway, as time on one engine.
 type LongWork struct {
 	Service Key
-	// Arrived and Sent are what has arrived and what was sent; the older, the less it counts.
-	Arrived, Sent PrefillByLength
+	// Admitted is what was held or sent, Sent what was sent; the older, the less it counts.
+	Admitted, Sent PrefillByLength
 	// Pending is what was sent and is probably not done yet.
 	Pending time.Duration
 }
 
 // add adds the work of another gateway.
 func (w *LongWork) add(other LongWork) {
-	w.Arrived.addAll(&other.Arrived)
+	w.Admitted.addAll(&other.Admitted)
 	w.Sent.addAll(&other.Sent)
 	w.Pending += other.Pending
 }
 
-// longQueue holds the long prompts that all gateways hold until their turn, and the prefill of those that have arrived at them.
+// longQueue holds the long prompts that all gateways hold until their turn, and the prefill of those that they have admitted.
 type longQueue struct {
 	lastID  HoldID
 	held    map[HoldID]heldPrompt
@@ -49,10 +49,10 @@
 	prefill   time.Duration
 }
 
-// ownWork is the prefill of long prompts that has arrived at this gateway and that it has sent, as of countedAt.
+// ownWork is the prefill of the long prompts that this gateway has admitted and sent, as of countedAt.
 type ownWork struct {
-	arrived, sent PrefillByLength
-	countedAt     time.Time
+	admitted, sent PrefillByLength
+	countedAt      time.Time
 }
 
 // peerQueue is the last report of another gateway.
@@ -69,7 +69,7 @@
 func (w *ownWork) forget(now time.Time) {
 	if elapsed := now.Sub(w.countedAt); elapsed > 0 {
 		keep := math.Exp(-elapsed.Seconds() / workMemory.Seconds())
-		w.arrived.scale(keep)
+		w.admitted.scale(keep)
 		w.sent.scale(keep)
 		w.countedAt = now
 	}
@@ -86,16 +86,9 @@
 	return w
 }
 
-// RecordArrival counts a request that has arrived at this gateway.
-func (p *Planner) RecordArrival(now time.Time, profile RequestProfile) {
-	if profile.Engine != nil && !profile.Short() {
-		p.queue.ownWorkOf(now, profile.Service).arrived.Add(profile.PrefillTime(), profile.PrefillTime())
-	}
-}
-
 // RecordHold records that a request is held, and returns the HoldID under which it is known until EndHold. A request
 // that is held again keeps the HoldID of its profile. The HoldID is zero if the request does not wait for its turn.
-func (p *Planner) RecordHold(profile RequestProfile, h Hold) HoldID {
+func (p *Planner) RecordHold(now time.Time, profile RequestProfile, h Hold) HoldID {
 	if h.Reason != HoldTurn && h.Reason != HoldLate {
 		p.EndHold(profile.HoldID)
 		return 0
@@ -104,6 +97,7 @@
 	if id == 0 {
 		p.queue.lastID++
 		id = p.queue.lastID
+		p.queue.recordAdmission(now, profile)
 	}
 	held := heldPrompt{service: profile.Service, arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime()}
 	p.queue.changed = p.queue.changed || p.queue.held[id] != held
@@ -111,6 +105,12 @@
 	return id
 }
 
+// recordAdmission counts a long prompt that is held or sent for the first time. Refused prompts do not count, so that they change
+// nothing for others.
+func (q *longQueue) recordAdmission(now time.Time, profile RequestProfile) {
+	q.ownWorkOf(now, profile.Service).admitted.Add(profile.PrefillTime(), profile.PrefillTime())
+}
+
 // EndHold records that a held request has been sent or has ended.
 func (p *Planner) EndHold(id HoldID) {
 	if _, ok := p.queue.held[id]; ok {
@@ -119,7 +119,7 @@
 	}
 }
 
-// QueueReport is what a gateway holds and what it knows of the long prompts that have arrived at it.
+// QueueReport is what a gateway holds and what it knows of the long prompts that it has admitted.
 type QueueReport struct {
 	Held []HeldPrompt
 	Work []LongWork
@@ -137,11 +137,11 @@
 	for service, w := range p.queue.work {
 		w.forget(now)
 		pending := p.pendingLong(now, service)
-		if w.arrived.Total()+w.sent.Total()+pending < minReportedWork {
+		if w.admitted.Total()+w.sent.Total()+pending < minReportedWork {
 			delete(p.queue.work, service)
 			continue
 		}
-		report.Work = append(report.Work, LongWork{Service: service, Arrived: w.arrived, Sent: w.sent, Pending: pending})
+		report.Work = append(report.Work, LongWork{Service: service, Admitted: w.admitted, Sent: w.sent, Pending: pending})
 	}
 	return report
 }
@@ -175,7 +175,7 @@
 	sum := LongWork{Service: service}
 	if w := q.work[service]; w != nil {
 		w.forget(now)
-		sum.Arrived, sum.Sent = w.arrived, w.sent
+		sum.Admitted, sum.Sent = w.admitted, w.sent
 	}
 	for _, peer := range q.peers {
 		for _, w := range peer.work {
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -22,10 +22,10 @@
 	return held
 }
 
-// longWork returns the work of service 1 of which prompts of one length have arrived, and a part was sent.
-func longWork(prefill, arrived, sent, pending time.Duration) dispatch.LongWork {
+// longWork returns the work of service 1 of which prompts of one length were admitted, and a part was sent.
+func longWork(prefill, admitted, sent, pending time.Duration) dispatch.LongWork {
 	work := dispatch.LongWork{Service: 1, Pending: pending}
-	work.Arrived.Add(prefill, arrived)
+	work.Admitted.Add(prefill, admitted)
 	work.Sent.Add(prefill, sent)
 	return work
 }
@@ -93,19 +93,18 @@
 			p, now := newPlanner(1), start.Add(time.Second)
 			report(p, tc.reportedAt, tc.report)
 			profile := waitingProfile(450_000)
-			p.RecordArrival(now, profile)
 			assert.Equal(t, decision(p.Place(now, profile, newServers(queueEngines), nil)), tc.want)
 		})
 	}
 }
 
 // Guards against shorter prompts that take the engine time which a longer one waits for, and longer ones that take that of
-// shorter ones: of two lengths, the one goes first that has got the smaller part of what has arrived of it.
+// shorter ones: of two lengths, the one goes first that has got the smaller part of what was admitted of it.
 func TestLengthsShareEngineTime(t *testing.T) {
 	const longer, shorter = 22 * time.Second, 1500 * time.Millisecond // 450,000 and 100,000 tokens
 	work := func(longerSent, shorterSent time.Duration) []dispatch.LongWork {
 		w := longWork(longer, 100*time.Second, longerSent, 28*time.Second)
-		w.Arrived.Add(shorter, 100*time.Second)
+		w.Admitted.Add(shorter, 100*time.Second)
 		w.Sent.Add(shorter, shorterSent)
 		return []dispatch.LongWork{w}
 	}
@@ -115,12 +114,12 @@
 		work   []dispatch.LongWork
 		want   string
 	}{
-		"longer prompt, shorter ones arrived before it and have had more":     {450_000, heldPrompts(30, 3*time.Second, shorter), work(20*time.Second, 60*time.Second), "sent"},
-		"longer prompt, shorter ones arrived before it and have had less":     {450_000, heldPrompts(30, 3*time.Second, shorter), work(90*time.Second, 20*time.Second), "held: turn"},
-		"shorter prompt, longer ones arrived before it and have had more":     {100_000, heldPrompts(6, 3*time.Second, longer), work(60*time.Second, 20*time.Second), "sent"},
-		"shorter prompt, longer ones arrived before it and have had less":     {100_000, heldPrompts(6, 3*time.Second, longer), work(20*time.Second, 90*time.Second), "held: turn"},
-		"shorter prompt, longer ones arrived after it and have had less":      {100_000, heldPrompts(6, 0, longer), work(20*time.Second, 90*time.Second), "held: turn"},
-		"longer prompt beside many shorter ones of which nothing has arrived": {450_000, heldPrompts(30, 3*time.Second, shorter), nil, "sent"},
+		"longer prompt, shorter ones arrived before it and have had more":      {450_000, heldPrompts(30, 3*time.Second, shorter), work(20*time.Second, 60*time.Second), "sent"},
+		"longer prompt, shorter ones arrived before it and have had less":      {450_000, heldPrompts(30, 3*time.Second, shorter), work(90*time.Second, 20*time.Second), "held: turn"},
+		"shorter prompt, longer ones arrived before it and have had more":      {100_000, heldPrompts(6, 3*time.Second, longer), work(60*time.Second, 20*time.Second), "sent"},
+		"shorter prompt, longer ones arrived before it and have had less":      {100_000, heldPrompts(6, 3*time.Second, longer), work(20*time.Second, 90*time.Second), "held: turn"},
+		"shorter prompt, longer ones arrived after it and have had less":       {100_000, heldPrompts(6, 0, longer), work(20*time.Second, 90*time.Second), "held: turn"},
+		"longer prompt beside many shorter ones of which nothing was admitted": {450_000, heldPrompts(30, 3*time.Second, shorter), nil, "sent"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -132,7 +131,7 @@
 }
 
 // Guards against prompts of nearly the same length and time that fare differently, because a boundary between classes lies
-// between them: their predicted waits differ as little as their lengths.
+// between them: their predicted waits differ by one place in the order at most.
 func TestNearlyEqualPromptsWaitAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start.Add(time.Second)
@@ -140,7 +139,7 @@
 		for range 30 {
 			prefill := time.Duration(rapid.IntRange(200, 60_000).Draw(t, "prefill")) * time.Millisecond
 			queue.Held = append(queue.Held, dispatch.HeldPrompt{Service: 1, Waited: time.Minute, Prefill: prefill})
-			queue.Work[0].Arrived.Add(prefill, 2*prefill)
+			queue.Work[0].Admitted.Add(prefill, 2*prefill)
 			queue.Work[0].Sent.Add(prefill, prefill/2)
 		}
 		tokens := int64(rapid.IntRange(40_000, 700_000).Draw(t, "tokens"))
@@ -168,8 +167,8 @@
 	hold, ok := p.Place(now, profile, newServers(queueEngines), nil).(dispatch.Hold)
 	assert.Assert(t, ok)
 	assert.Equal(t, hold.Reason, dispatch.HoldTurn)
-	profile.HoldID = p.RecordHold(profile, hold)
-	assert.Equal(t, p.RecordHold(profile, hold), profile.HoldID, "held again")
+	profile.HoldID = p.RecordHold(now, profile, hold)
+	assert.Equal(t, p.RecordHold(now, profile, hold), profile.HoldID, "held again")
 	held := p.Queue(now).Held
 	assert.Equal(t, len(held), 1)
 	assert.Equal(t, held[0].Waited, time.Second)
@@ -194,7 +193,6 @@
 				Work: []dispatch.LongWork{longWork(prefill, 600*time.Second, 300*time.Second, 30*time.Second)},
 			})
 			profile := waitingProfile(tokens)
-			p.RecordArrival(now, profile)
 			atOnce := profile
 			atOnce.TargetTime, atOnce.Deadline = time.Time{}, time.Time{}
 			joint, ok := p.Place(now, atOnce, newServers(queueEngines), nil).(dispatch.JointPrefill)
@@ -224,7 +222,6 @@
 		p.SetPeerQueue(start, "other", dispatch.QueueReport{Held: heldPrompts(1, time.Second, 12*time.Second)})
 		for range others {
 			longer := waitingProfile(450_000)
-			p.RecordArrival(start, longer)
 			p.RecordPlacement(start, longer, dispatch.NoPlacement{Reason: dispatch.Overloaded})
 		}
 		refused := 0
@@ -237,6 +234,28 @@
 	}
 }
 
+// Guards against an order that moves because other callers were refused: what waits before a prompt is the same, whether longer
+// prompts were refused before it or not.
+func TestRefusalsOfOthersDoNotMoveTheOrder(t *testing.T) {
+	queue := dispatch.QueueReport{
+		Held: heldPrompts(6, 0, 22*time.Second),
+		Work: []dispatch.LongWork{longWork(22*time.Second, 200*time.Second, 190*time.Second, 28*time.Second)},
+	}
+	queue.Work[0].Admitted.Add(1500*time.Millisecond, 100*time.Second)
+	queue.Work[0].Sent.Add(1500*time.Millisecond, 80*time.Second)
+	decisions := map[int]string{}
+	for _, others := range []int{0, 30} {
+		p, now := newPlanner(1), start.Add(time.Second)
+		report(p, now, queue)
+		for range others {
+			longer := waitingProfile(450_000)
+			p.RecordPlacement(now, longer, dispatch.NoPlacement{Reason: dispatch.Overloaded})
+		}
+		decisions[others] = decision(p.Place(now, waitingProfile(100_000), newServers(queueEngines), nil))
+	}
+	assert.Equal(t, decisions[30], decisions[0], "after 30 refusals of longer prompts, and after none")
+}
+
 // Guards against a decision that is drawn: equal prompts in equal states are answered alike, whatever the source of randomness
 // says.
 func TestEqualPromptsDecidedAlike(t *testing.T) {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -41,20 +41,23 @@
 	// own is set for the prompt whose turn is looked for.
 	own bool
 	// service is the prefill of prompts of its length that has been sent or goes first, this one included, as a share of what
-	// has arrived.
+	// was admitted.
 	service float64
 }
 
 // turn returns the turn of a long prompt at a number of engines.
 //
-// Engine time is shared among the lengths of prompts in proportion to what arrives of each, and prompts of one length go in
-// the order of arrival: the prompt goes first whose length has got, with it, the smallest part of what has arrived. So neither
+// Engine time is shared among the lengths of prompts in proportion to what is admitted of each, and prompts of one length go in
+// the order of arrival: the prompt goes first whose length has got, with it, the smallest part of what was admitted. So neither
 // longer nor shorter prompts can take the engine time of the others, however many there are. While all can be served this is
 // close to the order of arrival.
 func (p *Planner) turn(now time.Time, profile RequestProfile, engines int) turn {
 	prefill := profile.PrefillTime()
 	work := p.queue.workOf(now, profile.Service)
 	work.Pending += p.pendingLong(now, profile.Service)
+	if profile.HoldID == 0 {
+		work.Admitted.Add(prefill, prefill)
+	}
 	queued := p.queue.heldFor(profile)
 	var older PrefillByLength
 	own := sortByService(queued, work)
@@ -86,7 +89,7 @@
 	for i := range queued {
 		q := &queued[i]
 		sent.Add(q.prefill, q.prefill)
-		q.service = float64(sent.near(q.prefill)) / float64(max(work.Arrived.near(q.prefill), 1))
+		q.service = float64(sent.near(q.prefill)) / float64(max(work.Admitted.near(q.prefill), 1))
 		if q.own {
 			own = *q
 		}
@@ -99,11 +102,11 @@
 	return q.service < other.service || q.service == other.service && q.arrivedAt.Before(other.arrivedAt)
 }
 
-// loadedWait returns the predicted wait of a prompt if prompts of other lengths go on arriving as lately: its length then has its
+// loadedWait returns the predicted wait of a prompt if prompts of other lengths go on being admitted as lately: its length then has its
 // share of the engines, or what the others leave if that is more. older is the prefill of held prompts that arrived earlier.
 // Without it, a prompt would be held that those which arrive after it and go first make miss its deadline.
 func loadedWait(prefill time.Duration, work LongWork, older PrefillByLength, allowed time.Duration, engines int) time.Duration {
-	total, own := work.Arrived.Total().Seconds(), work.Arrived.near(prefill).Seconds()
+	total, own := work.Admitted.Total().Seconds(), work.Admitted.near(prefill).Seconds()
 	if own == 0 {
 		return 0
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -181,7 +181,7 @@
 	placement := planner.Place(now, profile, q.gateway.roster.InService(q.service), q.tried)
 	switch p := placement.(type) {
 	case dispatch.Hold:
-		q.holdID = planner.RecordHold(profile, p)
+		q.holdID = planner.RecordHold(now, profile, p)
 	case dispatch.Send, dispatch.JointPrefill, dispatch.NoPlacement:
 	}
 	return placement, planner.RecordPlacement(now, q.profile, placement)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -202,7 +202,6 @@
 		q.profile.Target = q.admitted.Route.Target
 		q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
 		q.profile.Deadline = q.latestFirstEvent()
-		g.planner.RecordArrival(g.clock.Now(), q.profile)
 		q.fingerprint = suspect.NewFingerprint(q.admitted.Workspace, q.req.Method+" "+q.req.Target, digest)
 	}
 	g.mu.Unlock()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -71,8 +71,8 @@
 	// Members lists some of the other gateways that the sender knows.
 	Members []netip.AddrPort
 	Loads   []dispatch.Load
-	// Held are the long prompts that the gateway holds until their turn, Work the prefill of those that have arrived at it
-	// and that it has sent, by service.
+	// Held are the long prompts that the gateway holds until their turn, Work the prefill of those that it has admitted
+	// and sent, by service.
 	Held []dispatch.HeldPrompt
 	Work []dispatch.LongWork
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -235,7 +235,7 @@
 		Loads: []dispatch.Load{{Key: 3, Short: 2, Long: 1, PendingPrefill: 250 * time.Millisecond, Memory: 9000, AvoidFor: time.Second}},
 		Held:  []dispatch.HeldPrompt{{Service: 4, Waited: 2 * time.Second, Prefill: 9 * time.Second}},
 		Work: []dispatch.LongWork{{
-			Service: 4, Arrived: dispatch.PrefillByLength{0, time.Second, 20 * time.Second}, Sent: dispatch.PrefillByLength{3 * time.Second},
+			Service: 4, Admitted: dispatch.PrefillByLength{0, time.Second, 20 * time.Second}, Sent: dispatch.PrefillByLength{3 * time.Second},
 			Pending: 1200 * time.Millisecond,
 		}},
 		RetryUsage: []dispatch.RetryUsage{{Service: 8, Requests: 90, Retries: 4}}, Stamp: 70_000,
@@ -257,8 +257,8 @@
 	for i := range 500 {
 		state.Held = append(state.Held, dispatch.HeldPrompt{Service: 1 << 30, Waited: time.Duration(i) * time.Second, Prefill: time.Minute})
 		work := dispatch.LongWork{Service: 1 << 30, Pending: time.Duration(i) * time.Second}
-		for c := range work.Arrived {
-			work.Arrived[c], work.Sent[c] = time.Duration(i)*time.Second, time.Hour
+		for c := range work.Admitted {
+			work.Admitted[c], work.Sent[c] = time.Duration(i)*time.Second, time.Hour
 		}
 		state.Work = append(state.Work, work)
 	}
--- a/internal/peering/queue_messages.go
+++ b/internal/peering/queue_messages.go
@@ -29,8 +29,8 @@
 	_         struct{} `cbor:",toarray"`
 	Service   uint32
 	PendingMS uint32
-	// Arrived and Sent are in units of workUnit.
-	Arrived, Sent [dispatch.LengthClasses]uint32
+	// Admitted and Sent are in units of workUnit.
+	Admitted, Sent [dispatch.LengthClasses]uint32
 }
 
 // encodeHeld returns the messages for held prompts. If there are more than fit, it keeps the oldest, which are sent
@@ -53,14 +53,14 @@
 func encodeWork(work []dispatch.LongWork) []workMessage {
 	if len(work) > maxWork {
 		work = slices.Clone(work)
-		slices.SortFunc(work, func(a, b dispatch.LongWork) int { return cmp.Compare(b.Arrived.Total(), a.Arrived.Total()) })
+		slices.SortFunc(work, func(a, b dispatch.LongWork) int { return cmp.Compare(b.Admitted.Total(), a.Admitted.Total()) })
 		work = work[:maxWork]
 	}
 	messages := make([]workMessage, 0, len(work))
 	for _, w := range work {
 		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending)}
 		for c := range dispatch.LengthClasses {
-			m.Arrived[c], m.Sent[c] = workUnits(w.Arrived[c]), workUnits(w.Sent[c])
+			m.Admitted[c], m.Sent[c] = workUnits(w.Admitted[c]), workUnits(w.Sent[c])
 		}
 		messages = append(messages, m)
 	}
@@ -104,10 +104,10 @@
 		}
 		w := dispatch.LongWork{Service: dispatch.Key(m.Service), Pending: time.Duration(m.PendingMS) * time.Millisecond}
 		for c := range dispatch.LengthClasses {
-			if m.Arrived[c] > maxCount || m.Sent[c] > maxCount {
+			if m.Admitted[c] > maxCount || m.Sent[c] > maxCount {
 				return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("work out of range")}
 			}
-			w.Arrived[c], w.Sent[c] = time.Duration(m.Arrived[c])*workUnit, time.Duration(m.Sent[c])*workUnit
+			w.Admitted[c], w.Sent[c] = time.Duration(m.Admitted[c])*workUnit, time.Duration(m.Sent[c])*workUnit
 		}
 		work = append(work, w)
 	}
--- a/internal/peering/size_test.go
+++ b/internal/peering/size_test.go
@@ -29,8 +29,8 @@
 			})
 			s.Held = append(s.Held, dispatch.HeldPrompt{Service: 1 << 31, Waited: d, Prefill: d})
 			work := dispatch.LongWork{Service: dispatch.Key(1<<31 + i), Pending: d}
-			for c := range work.Arrived {
-				work.Arrived[c], work.Sent[c] = time.Duration(count)*time.Second, time.Duration(count)*time.Second
+			for c := range work.Admitted {
+				work.Admitted[c], work.Sent[c] = time.Duration(count)*time.Second, time.Duration(count)*time.Second
 			}
 			s.Work = append(s.Work, work)
 			s.RetryUsage = append(s.RetryUsage, dispatch.RetryUsage{Service: dispatch.Key(1<<31 + i), Requests: count, Retries: count})
