dispatch, route: requests of a service are ranked where its routes have priorities

Change: the table's priorities make a rank; long prompts that are less urgent leave engines free for the more urgent ones, are sent later and use no engine with short prompts as a fallback. Services whose routes have one priority are served as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,10 @@
 	Fingerprint uint64
 	// HoldID identifies the request while it is held; zero before.
 	HoldID HoldID
+	// Rank is the urgency of the request, Ranks the range of the ranks of its service. Rank has no effect if the requests for the
+	// service are not ranked.
+	Rank  route.Rank
+	Ranks route.RankRange
 }
 
 // PrefillTime returns the time that one engine needs to prefill the prompt alone.
@@ -66,6 +70,8 @@
 	Key Key
 	// Short and Long are the numbers of outstanding requests by the class of their prompt.
 	Short, Long int
+	// Urgent is how many of them are more urgent than others for the service; zero if all have one priority.
+	Urgent int
 	// PendingPrefill is the pending prefill time, Memory the number of tokens held in memory.
 	PendingPrefill time.Duration
 	Memory         int64
@@ -77,6 +83,7 @@
 func (l *Load) add(other Load, sign int) {
 	l.Short += sign * other.Short
 	l.Long += sign * other.Long
+	l.Urgent += sign * other.Urgent
 	l.PendingPrefill += time.Duration(sign) * other.PendingPrefill
 	l.Memory += int64(sign) * other.Memory
 }
@@ -89,6 +96,9 @@
 	// prefill is the prefill time at each of the servers, expected the predicted time to the first event.
 	prefill, expected time.Duration
 	memory            int64
+	// urgent is set if others for the service are less urgent.
+	urgent bool
+	rank   route.Rank
 	// reserved means that memory is held at each of the servers, and not only at the first.
 	reserved    bool
 	short       bool
@@ -264,7 +274,7 @@
 // RecordPlacement records that a request is sent as placed. The PlacementID identifies it in calls of RecordProgress
 // and RecordEnd. It is zero for Hold and NoPlacement.
 func (p *Planner) RecordPlacement(now time.Time, profile RequestProfile, place Placement) PlacementID {
-	r := &placedRequest{placedAt: now, service: profile.Service, short: profile.Short(), prefill: profile.PrefillTime()}
+	r := &placedRequest{placedAt: now, service: profile.Service, short: profile.Short(), prefill: profile.PrefillTime(), urgent: profile.urgent(), rank: profile.rank()}
 	switch place := place.(type) {
 	case Send:
 		r.servers, r.expected = []*serverState{p.stateOf(place.Server)}, place.Expected
@@ -285,7 +295,9 @@
 		if profile.HoldID == 0 {
 			p.queue.recordAdmission(now, profile)
 		}
-		p.queue.ownWorkOf(now, r.service).sent.Add(profile.PrefillTime(), profile.PrefillTime())
+		p.queue.ownWorkOf(now, profile.workKey()).sent.Add(profile.PrefillTime(), profile.PrefillTime())
+	} else if r.urgent {
+		p.queue.running[profile.workKey()]++
 	}
 	for i, st := range r.servers {
 		st.left = false
@@ -301,6 +313,9 @@
 		} else {
 			st.own.Long++
 		}
+		if r.urgent {
+			st.own.Urgent++
+		}
 		st.cold.recordSend(now)
 	}
 	p.loadsChanged = true
@@ -338,8 +353,12 @@
 	p.finishPrefill(r)
 	p.loadsChanged = true
 	first := r.servers[0]
+	if r.urgent {
+		first.own.Urgent--
+	}
 	if r.short {
 		first.own.Short--
+		p.queue.endShort(r)
 	} else {
 		first.own.Long--
 	}
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -50,8 +50,9 @@
 		// A prefill pauses the answers that its engine generates.
 		return cmp.Or(cmp.Compare(a.pending(), b.pending()), cmp.Compare(a.total.Long, b.total.Long), cmp.Compare(a.rank, b.rank))
 	})
-	t := p.turn(now, profile, len(candidates))
-	placement := p.placeInTurn(now, profile, t, candidates, engines)
+	r := p.roomFor(now, profile, candidates)
+	t := p.turn(now, profile, r.engines)
+	placement := p.placeInTurn(now, profile, t, r, engines)
 	switch d := placement.(type) {
 	case Hold:
 		d.Queue = t.view()
@@ -66,15 +67,22 @@
 
 // placeInTurn prefills a prompt on as few engines as it takes for the first event to be on time, preferably on engines
 // without short requests, when its turn has come. The candidates must be sorted by pending prefill.
-func (p *Planner) placeInTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, engines int) Placement {
+func (p *Planner) placeInTurn(now time.Time, profile RequestProfile, t turn, r room, engines int) Placement {
+	candidates := r.usable
 	mayWait := !profile.TargetTime.IsZero()
-	chosen, expected := chooseLongEngines(profile, candidates)
-	if len(chosen) == 0 {
+	chosen, expected := chooseLongEngines(profile, r.preferred)
+	if len(chosen) == 0 || expected > scale(profile.Target, spillTargetShare) {
+		chosen, expected = chooseLongEngines(profile, candidates)
+	}
+	switch {
+	case profile.yields():
+		// Engines with more urgent requests are used for short parts only.
+	case len(chosen) == 0:
 		chosen, expected = chooseFallbackEngines(profile, candidates, math.MaxInt64)
 		if len(chosen) > 0 && now.Add(expected+deadlineMargin).Before(profile.TargetTime) {
 			return hold(HoldShort, candidates, expected)
 		}
-	} else if mayWait && now.Add(expected).After(profile.TargetTime) {
+	case mayWait && now.Add(expected).After(profile.TargetTime):
 		// All late prompts would otherwise wait for the few engines without short requests.
 		before := expected / fallbackGain
 		if fallback, sooner := chooseFallbackEngines(profile, candidates, before); len(fallback) > 0 && sooner < before {
@@ -85,6 +93,10 @@
 		return p.placeWithoutEngines(now, profile, candidates, engines)
 	}
 	if mayWait {
+		if p.joining && profile.yields() && now.Add(expected+deadlineMargin).Before(profile.Deadline) {
+			// What other gateways send is not known yet, and all that have just started would send to the same engines.
+			return hold(HoldTurn, candidates, expected)
+		}
 		if placement, waits := awaitTurn(now, profile, t, candidates, expected); waits {
 			return placement
 		}
@@ -108,13 +120,13 @@
 // or a set that may include engines with short requests if the parts there are small and the prompt is done sooner.
 func chooseLongEngines(profile RequestProfile, candidates []candidate) ([]candidate, time.Duration) {
 	prefill, hasMemory := profile.PrefillTime(), profile.memoryFilter()
-	isFree := func(c *candidate, parts int) bool { return c.total.Short == 0 && hasMemory(c, parts) }
+	isFree := func(c *candidate, parts int) bool { return !c.delayedBy(profile) && hasMemory(c, parts) }
 	chosen, expected := choosePrefillEngines(prefill, candidates, time.Duration(targetShare*float64(profile.Target)), isFree)
 	if len(chosen) > 0 && expected <= time.Duration(spillTargetShare*float64(profile.Target)) {
 		return chosen, expected
 	}
 	canSpill := func(c *candidate, parts int) bool {
-		return hasMemory(c, parts) && (c.total.Short == 0 || c.total.PendingPrefill+prefill/time.Duration(parts) <= maxSpillPrefill)
+		return hasMemory(c, parts) && (!c.delayedBy(profile) || c.total.PendingPrefill+prefill/time.Duration(parts) <= maxSpillPrefill)
 	}
 	spill, spillExpected := choosePrefillEngines(prefill, candidates, 0, canSpill)
 	if len(chosen) == 0 || len(spill) > 0 && spillExpected < expected {
@@ -123,6 +135,12 @@
 	return chosen, expected
 }
 
+// delayedBy reports whether an engine has requests that the prefill of a long prompt must not delay: short ones, and those that
+// are more urgent than the least urgent prompts.
+func (c *candidate) delayedBy(profile RequestProfile) bool {
+	return c.total.Short > 0 || c.total.Urgent > 0 && profile.yields() && !profile.urgent()
+}
+
 // chooseFallbackEngines returns a few engines that prefill a prompt before a time although they may have short requests,
 // those with the fewest of them. The prompt makes some of these late; using few engines limits how many.
 func chooseFallbackEngines(profile RequestProfile, candidates []candidate, before time.Duration) ([]candidate, time.Duration) {
--- /dev/null
+++ b/internal/dispatch/priority.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"berylward.example/berylward/internal/route"
+)
+
+const (
+	// rankedSendAhead takes the place of sendAhead for prompts that are less urgent than others. What has been sent cannot be
+	// overtaken, and a more urgent prompt has to find an engine free within its target time.
+	rankedSendAhead = 500 * time.Millisecond
+	// minEnginesLeft keeps predictions finite when more urgent requests take all engines.
+	minEnginesLeft = 0.5
+	// urgentLoad is the share of their time for which engines that are left to more urgent long prompts prefill these. With more, the
+	// prompts wait for each other beyond their target times.
+	urgentLoad = 0.5
+	// maxRunning is the largest number of entries in a report of running short prompts.
+	maxRunning = 8
+)
+
+// RunningShort is how many short prompts of one priority for a service a gateway has sent that have not ended.
+type RunningShort struct {
+	Service  Key
+	Rank     route.Rank
+	Requests int
+}
+
+// runningShort returns the report of this gateway, the most urgent prompts first.
+func (q *longQueue) runningShort() []RunningShort {
+	running := make([]RunningShort, 0, len(q.running))
+	for key, n := range q.running {
+		running = append(running, RunningShort{Service: key.service, Rank: key.rank, Requests: n})
+	}
+	slices.SortFunc(running, func(a, b RunningShort) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Service, b.Service))
+	})
+	return running[:min(len(running), maxRunning)]
+}
+
+// endShort records that a short prompt has ended.
+func (q *longQueue) endShort(r *placedRequest) {
+	if !r.urgent {
+		return
+	}
+	key := workKey{r.service, r.rank}
+	if q.running[key]--; q.running[key] <= 0 {
+		delete(q.running, key)
+	}
+}
+
+// urgentShort returns how many short prompts that are more urgent than a request all gateways have sent for its service.
+func (q *longQueue) urgentShort(profile RequestProfile) int {
+	sum := 0
+	for key, n := range q.running {
+		if key.service == profile.Service && key.rank < profile.Rank {
+			sum += n
+		}
+	}
+	for _, peer := range q.peers {
+		for _, r := range peer.running {
+			if r.Service == profile.Service && r.Rank < profile.Rank {
+				sum += r.Requests
+			}
+		}
+	}
+	return sum
+}
+
+// urgentWork is what long prompts of other priorities than that of a request take of the engines.
+type urgentWork struct {
+	// engines is the number of engines that prompts which are more urgent have taken lately.
+	engines float64
+	// pending is the prefill of prompts of other priorities that has been sent and is probably not done.
+	pending time.Duration
+}
+
+func (p *Planner) urgentWork(now time.Time, profile RequestProfile) urgentWork {
+	var u urgentWork
+	add := func(w LongWork) {
+		// The least urgent prompts and the others use different engines.
+		sameEngines := (w.Rank < profile.Ranks.Least) == profile.urgent()
+		if w.Service != profile.Service || w.Rank == profile.Rank || !sameEngines {
+			return
+		}
+		u.pending += w.Pending
+		if w.Rank < profile.Rank {
+			u.engines += w.Admitted.Total().Seconds() / workMemory.Seconds()
+		}
+	}
+	for key, w := range p.queue.work {
+		w.forget(now)
+		add(LongWork{Service: key.service, Rank: key.rank, Admitted: w.admitted, Pending: p.pendingLong(now, key)})
+	}
+	for _, peer := range p.queue.peers {
+		for _, w := range peer.work {
+			add(w)
+		}
+	}
+	return u
+}
+
+// urgent reports whether other requests for the service are less urgent.
+func (p RequestProfile) urgent() bool { return p.Rank < p.Ranks.Least }
+
+// yields reports whether other requests for the service are more urgent.
+func (p RequestProfile) yields() bool { return p.Rank > p.Ranks.Most }
+
+// sendAhead returns the prefill that engines may have before them when the prompt is sent.
+func (p RequestProfile) sendAhead() time.Duration {
+	if p.yields() {
+		return rankedSendAhead
+	}
+	return sendAhead
+}
+
+// room is the part of the engines that a long prompt may use.
+type room struct {
+	// usable are the engines that it may use, preferred those of them that less urgent prompts leave to it.
+	usable, preferred []candidate
+	// engines is how many engines it may rely on.
+	engines int
+}
+
+// roomFor returns the room that more urgent requests leave to a long prompt. Engines stay free for short prompts that are more
+// urgent: as many as these use, and for as many more as arrive while a part of a prompt is prefilled. Further ones stay free for
+// long prompts that are more urgent. All gateways leave the same engines, so that these are soon free. The order of the candidates
+// is kept.
+func (p *Planner) roomFor(now time.Time, profile RequestProfile, candidates []candidate) room {
+	if !profile.yields() {
+		return room{usable: candidates, engines: len(candidates)}
+	}
+	growth := 1 + maxPart.Seconds()/p.shortTime.Seconds()
+	short := float64(p.queue.urgentShort(profile)) * growth / (packSlotShare * float64(profile.Engine.Slots))
+	long := p.urgentEngines(now, profile.Service, profile.Ranks.Least) / urgentLoad
+	withShort, withLong := 0, 0
+	var free []Key
+	for i := range candidates {
+		switch c := &candidates[i]; {
+		case c.total.Short > 0:
+			withShort++
+		case c.total.Urgent > 0:
+			withLong++
+		default:
+			free = append(free, c.state.key)
+		}
+	}
+	slices.Sort(free)
+	leftShort := min(max(int(math.Ceil(short))-withShort, 0), len(free))
+	leftLong := min(max(int(math.Ceil(long))-withLong, 0), len(free)-leftShort)
+	left := free[:leftShort]
+	if !profile.urgent() {
+		left = free[:leftShort+leftLong]
+	}
+	r := room{engines: max(len(free)-len(left), 1)}
+	r.usable = slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return slices.Contains(left, c.state.key) })
+	if profile.urgent() {
+		r.engines += withLong
+		r.preferred = slices.DeleteFunc(slices.Clone(r.usable), func(c candidate) bool {
+			return c.total.Short > 0 || c.total.Urgent == 0 && !slices.Contains(free[leftShort:leftShort+leftLong], c.state.key)
+		})
+	}
+	return r
+}
+
+// urgentEngines returns how many engines the long prompts for a service that are more urgent than a priority have kept busy lately.
+func (p *Planner) urgentEngines(now time.Time, service Key, rank route.Rank) float64 {
+	var admitted time.Duration
+	for key, w := range p.queue.work {
+		if key.service == service && key.rank < rank {
+			w.forget(now)
+			admitted += w.admitted.Total()
+		}
+	}
+	for _, peer := range p.queue.peers {
+		for _, w := range peer.work {
+			if w.Service == service && w.Rank < rank {
+				admitted += w.Admitted.Total()
+			}
+		}
+	}
+	return admitted.Seconds() / workMemory.Seconds()
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"berylward.example/berylward/internal/route"
 )
 
 // workMemory is the time constant with which the prefill that was admitted or sent is forgotten.
@@ -14,13 +16,16 @@
 // HeldPrompt is a long prompt that a gateway holds until its turn.
 type HeldPrompt struct {
 	Service Key
+	// Rank is the urgency of the prompt. It is 0 if the requests for the service are not ranked.
+	Rank route.Rank
 	// Waited is the time since the request arrived, Prefill the prefill time of the prompt on one engine.
 	Waited, Prefill time.Duration
 }
 
-// LongWork is the prefill of the long prompts for a service at a gateway, as time on one engine.
+// LongWork is the prefill of the long prompts of one priority for a service at a gateway, as time on one engine.
 type LongWork struct {
 	Service Key
+	Rank    route.Rank
 	// Admitted is what was held or sent, Sent what was sent; the older, the less it counts.
 	Admitted, Sent PrefillByLength
 	// Pending is what was sent and is probably not done yet.
@@ -36,15 +41,35 @@
 
 // longQueue holds the long prompts that all gateways hold until their turn, and the prefill of those that they have admitted.
 type longQueue struct {
-	lastID  HoldID
-	held    map[HoldID]heldPrompt
-	work    map[Key]*ownWork
+	lastID HoldID
+	held   map[HoldID]heldPrompt
+	work   map[workKey]*ownWork
+	// running counts the short prompts that this gateway has sent and that have not ended, if others for their service are less
+	// urgent.
+	running map[workKey]int
 	peers   map[string]peerQueue
 	changed bool
 }
 
+// workKey identifies the requests of one priority for a service.
+type workKey struct {
+	service Key
+	rank    route.Rank
+}
+
+// rank returns the rank of the request, or 0 if the requests for its service are not ranked.
+func (p RequestProfile) rank() route.Rank {
+	if !p.Ranks.Ranked() {
+		return 0
+	}
+	return p.Rank
+}
+
+func (p RequestProfile) workKey() workKey { return workKey{p.Service, p.rank()} }
+
 type heldPrompt struct {
 	service   Key
+	rank      route.Rank
 	arrivedAt time.Time
 	prefill   time.Duration
 }
@@ -57,12 +82,13 @@
 
 // peerQueue is the last report of another gateway.
 type peerQueue struct {
-	held []heldPrompt
-	work []LongWork
+	held    []heldPrompt
+	work    []LongWork
+	running []RunningShort
 }
 
 func newLongQueue() longQueue {
-	return longQueue{held: map[HoldID]heldPrompt{}, work: map[Key]*ownWork{}, peers: map[string]peerQueue{}}
+	return longQueue{held: map[HoldID]heldPrompt{}, work: map[workKey]*ownWork{}, running: map[workKey]int{}, peers: map[string]peerQueue{}}
 }
 
 // forget reduces the work by the time that has passed.
@@ -75,12 +101,12 @@
 	}
 }
 
-// ownWorkOf returns the work of this gateway for a service.
-func (q *longQueue) ownWorkOf(now time.Time, service Key) *ownWork {
-	w := q.work[service]
+// ownWorkOf returns the work of this gateway of one priority for a service.
+func (q *longQueue) ownWorkOf(now time.Time, key workKey) *ownWork {
+	w := q.work[key]
 	if w == nil {
 		w = &ownWork{countedAt: now}
-		q.work[service] = w
+		q.work[key] = w
 	}
 	w.forget(now)
 	return w
@@ -99,7 +125,7 @@
 		id = p.queue.lastID
 		p.queue.recordAdmission(now, profile)
 	}
-	held := heldPrompt{service: profile.Service, arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime()}
+	held := heldPrompt{service: profile.Service, rank: profile.rank(), arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime()}
 	p.queue.changed = p.queue.changed || p.queue.held[id] != held
 	p.queue.held[id] = held
 	return id
@@ -108,7 +134,7 @@
 // recordAdmission counts a long prompt that is held or sent for the first time. Refused prompts do not count, so that they change
 // nothing for others.
 func (q *longQueue) recordAdmission(now time.Time, profile RequestProfile) {
-	q.ownWorkOf(now, profile.Service).admitted.Add(profile.PrefillTime(), profile.PrefillTime())
+	q.ownWorkOf(now, profile.workKey()).admitted.Add(profile.PrefillTime(), profile.PrefillTime())
 }
 
 // EndHold records that a held request has been sent or has ended.
@@ -123,6 +149,8 @@
 type QueueReport struct {
 	Held []HeldPrompt
 	Work []LongWork
+	// Running are the short prompts for services whose requests have different priorities.
+	Running []RunningShort
 }
 
 // minReportedWork is the work below which a service is dropped.
@@ -132,25 +160,26 @@
 func (p *Planner) Queue(now time.Time) QueueReport {
 	report := QueueReport{Held: make([]HeldPrompt, 0, len(p.queue.held)), Work: make([]LongWork, 0, len(p.queue.work))}
 	for _, h := range p.queue.held {
-		report.Held = append(report.Held, HeldPrompt{Service: h.service, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill})
+		report.Held = append(report.Held, HeldPrompt{Service: h.service, Rank: h.rank, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill})
 	}
-	for service, w := range p.queue.work {
+	for key, w := range p.queue.work {
 		w.forget(now)
-		pending := p.pendingLong(now, service)
+		pending := p.pendingLong(now, key)
 		if w.admitted.Total()+w.sent.Total()+pending < minReportedWork {
-			delete(p.queue.work, service)
+			delete(p.queue.work, key)
 			continue
 		}
-		report.Work = append(report.Work, LongWork{Service: service, Admitted: w.admitted, Sent: w.sent, Pending: pending})
+		report.Work = append(report.Work, LongWork{Service: key.service, Rank: key.rank, Admitted: w.admitted, Sent: w.sent, Pending: pending})
 	}
+	report.Running = p.queue.runningShort()
 	return report
 }
 
 // SetPeerQueue replaces the report of another gateway. It counts as long as the loads that the gateway has reported.
 func (p *Planner) SetPeerQueue(now time.Time, gateway string, report QueueReport) {
-	q := peerQueue{work: report.Work}
+	q := peerQueue{work: report.Work, running: report.Running}
 	for _, h := range report.Held {
-		q.held = append(q.held, heldPrompt{service: h.Service, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill})
+		q.held = append(q.held, heldPrompt{service: h.Service, rank: h.Rank, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill})
 	}
 	p.queue.peers[gateway] = q
 }
@@ -170,16 +199,16 @@
 	return prompts, prefill
 }
 
-// workOf returns the work of all gateways for a service, without what is pending at this gateway.
-func (q *longQueue) workOf(now time.Time, service Key) LongWork {
-	sum := LongWork{Service: service}
-	if w := q.work[service]; w != nil {
+// workOf returns the work of all gateways of one priority for a service, without what is pending at this gateway.
+func (q *longQueue) workOf(now time.Time, key workKey) LongWork {
+	sum := LongWork{Service: key.service, Rank: key.rank}
+	if w := q.work[key]; w != nil {
 		w.forget(now)
 		sum.Admitted, sum.Sent = w.admitted, w.sent
 	}
 	for _, peer := range q.peers {
 		for _, w := range peer.work {
-			if w.Service == service {
+			if w.Service == key.service && w.Rank == key.rank {
 				sum.add(w)
 			}
 		}
@@ -189,10 +218,10 @@
 
 // heldFor returns a prompt and the others for its service that all gateways hold.
 func (q *longQueue) heldFor(profile RequestProfile) []queuedPrompt {
-	queued := []queuedPrompt{{arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(), own: true}}
+	queued := []queuedPrompt{{arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(), rank: profile.rank(), own: true}}
 	add := func(h heldPrompt) {
 		if h.service == profile.Service {
-			queued = append(queued, queuedPrompt{arrivedAt: h.arrivedAt, prefill: h.prefill})
+			queued = append(queued, queuedPrompt{arrivedAt: h.arrivedAt, prefill: h.prefill, rank: h.rank})
 		}
 	}
 	for id, h := range q.held {
@@ -208,11 +237,12 @@
 	return queued
 }
 
-// pendingLong returns the prefill of the long prompts for a service that this gateway has sent and that is probably not done.
-func (p *Planner) pendingLong(now time.Time, service Key) time.Duration {
+// pendingLong returns the prefill of the long prompts of one priority for a service that this gateway has sent and that is
+// probably not done.
+func (p *Planner) pendingLong(now time.Time, key workKey) time.Duration {
 	var pending time.Duration
 	for _, r := range p.requests {
-		if !r.short && r.service == service && !r.prefillDone {
+		if !r.short && r.service == key.service && r.rank == key.rank && !r.prefillDone {
 			pending += r.prefillLeft(now)
 		}
 	}
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"berylward.example/berylward/internal/route"
 )
 
 const (
@@ -38,6 +40,7 @@
 type queuedPrompt struct {
 	arrivedAt time.Time
 	prefill   time.Duration
+	rank      route.Rank
 	// own is set for the prompt whose turn is looked for.
 	own bool
 	// service is the prefill of prompts of its length that has been sent or goes first, this one included, as a share of what
@@ -53,15 +56,20 @@
 // close to the order of arrival.
 func (p *Planner) turn(now time.Time, profile RequestProfile, engines int) turn {
 	prefill := profile.PrefillTime()
-	work := p.queue.workOf(now, profile.Service)
-	work.Pending += p.pendingLong(now, profile.Service)
+	work := p.queue.workOf(now, profile.workKey())
+	work.Pending += p.pendingLong(now, profile.workKey())
 	if profile.HoldID == 0 {
 		work.Admitted.Add(prefill, prefill)
 	}
+	var urgent urgentWork
+	if profile.Ranks.Ranked() {
+		urgent = p.urgentWork(now, profile)
+		work.Pending += urgent.pending
+	}
 	queued := p.queue.heldFor(profile)
 	var older PrefillByLength
 	own := sortByService(queued, work)
-	t := turn{ahead: work.Pending, allowed: time.Duration(engines) * sendAhead}
+	t := turn{ahead: work.Pending, allowed: time.Duration(engines) * profile.sendAhead()}
 	for _, q := range queued {
 		switch {
 		case q.own:
@@ -69,12 +77,19 @@
 		case goesFirst(q, own):
 			t.ahead += q.prefill
 		}
-		if q.arrivedAt.Before(own.arrivedAt) {
+		if q.rank == own.rank && q.arrivedAt.Before(own.arrivedAt) {
 			older.Add(q.prefill, q.prefill)
 		}
+		if q.rank < own.rank {
+			work.Pending += q.prefill
+		}
 	}
 	if !t.due() {
-		t.wait = max((t.ahead-t.allowed)/time.Duration(engines), loadedWait(prefill, work, older, t.allowed, engines))
+		left := float64(engines)
+		if profile.urgent() {
+			left = max(left-urgent.engines, minEnginesLeft)
+		}
+		t.wait = max(scale(t.ahead-t.allowed, 1/left), loadedWait(prefill, work, older, t.allowed, left))
 	}
 	return t
 }
@@ -88,6 +103,9 @@
 	sent := work.Sent
 	for i := range queued {
 		q := &queued[i]
+		if q.rank != work.Rank {
+			continue // Priority decides between them.
+		}
 		sent.Add(q.prefill, q.prefill)
 		q.service = float64(sent.near(q.prefill)) / float64(max(work.Admitted.near(q.prefill), 1))
 		if q.own {
@@ -99,19 +117,22 @@
 
 // goesFirst reports whether a queued prompt is sent before another one.
 func goesFirst(q, other queuedPrompt) bool {
+	if q.rank != other.rank {
+		return q.rank < other.rank
+	}
 	return q.service < other.service || q.service == other.service && q.arrivedAt.Before(other.arrivedAt)
 }
 
 // loadedWait returns the predicted wait of a prompt if prompts of other lengths go on being admitted as lately: its length then has its
 // share of the engines, or what the others leave if that is more. older is the prefill of held prompts that arrived earlier.
 // Without it, a prompt would be held that those which arrive after it and go first make miss its deadline.
-func loadedWait(prefill time.Duration, work LongWork, older PrefillByLength, allowed time.Duration, engines int) time.Duration {
+func loadedWait(prefill time.Duration, work LongWork, older PrefillByLength, allowed time.Duration, engines float64) time.Duration {
 	total, own := work.Admitted.Total().Seconds(), work.Admitted.near(prefill).Seconds()
 	if own == 0 {
 		return 0
 	}
 	share := own / total
-	rate := max(share*float64(engines), float64(engines)-(total-own)/workMemory.Seconds())
+	rate := max(share*engines, engines-(total-own)/workMemory.Seconds())
 	ahead := older.near(prefill).Seconds() + share*(work.Pending-allowed).Seconds()
 	return seconds(max(0, ahead) / rate)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -24,7 +24,9 @@
 	q.service, q.profile.Service = service, dispatch.ServiceKey(service)
 	q.profile.ColdPerSecond, q.idleLimit = 0, 0
 	q.profile.Engine, q.profile.Prompt, q.profile.Answer = nil, 0, 0
-	s := g.currentTable.Table().Service(service)
+	table := g.currentTable.Table()
+	q.profile.Rank, q.profile.Ranks = table.Rank(q.current.Route, q.current.Workspace), table.Ranks(service)
+	s := table.Service(service)
 	if s == nil {
 		return
 	}
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -58,6 +58,7 @@
 	Held        []heldMessage
 	Work        []workMessage
 	Parts       []byte
+	Running     []runningMessage
 }
 
 // proofMessage follows the state in the same datagram. It is a message of its own because it differs by recipient.
@@ -86,6 +87,7 @@
 	// Memory is in units of 1,000 tokens.
 	Memory  uint32
 	AvoidMS uint32
+	Urgent  uint32
 }
 
 // Encode returns the first part of a datagram, which holds the state. If there are more loads than fit, it keeps the
@@ -102,12 +104,12 @@
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
-		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work),
+		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work), Running: encodeRunning(s.Running),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
 			Key: uint32(l.Key), Short: uint32(l.Short), Long: uint32(l.Long), PendingPrefillMS: uint32(l.PendingPrefill.Milliseconds()),
-			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.AvoidFor.Milliseconds()),
+			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.AvoidFor.Milliseconds()), Urgent: uint32(l.Urgent),
 		})
 	}
 	for _, u := range s.RetryUsage[:min(len(s.RetryUsage), maxUsages)] {
@@ -155,13 +157,13 @@
 		Loads: make([]dispatch.Load, 0, len(m.Loads)),
 	}
 	for _, l := range m.Loads {
-		if l.Short > maxCount || l.Long > maxCount || l.PendingPrefillMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
+		if l.Short > maxCount || l.Long > maxCount || l.Urgent > maxCount || l.PendingPrefillMS > maxMilliseconds || l.AvoidMS > maxMilliseconds {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("load out of range")}
 		}
 		s.Loads = append(s.Loads, dispatch.Load{
 			Key: dispatch.Key(l.Key), Short: int(l.Short), Long: int(l.Long),
 			PendingPrefill: time.Duration(l.PendingPrefillMS) * time.Millisecond, Memory: int64(l.Memory) * 1000,
-			AvoidFor: time.Duration(l.AvoidMS) * time.Millisecond,
+			AvoidFor: time.Duration(l.AvoidMS) * time.Millisecond, Urgent: int(l.Urgent),
 		})
 	}
 	if s.Held, err = decodeHeld(m.Held); err != nil {
@@ -170,6 +172,9 @@
 	if s.Work, err = decodeWork(m.Work); err != nil {
 		return State{}, Proof{}, err
 	}
+	if s.Running, err = decodeRunning(m.Running); err != nil {
+		return State{}, Proof{}, err
+	}
 	for _, u := range m.RetryUsage {
 		if u.Requests > maxCount || u.Retries > maxCount {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("retry usage out of range")}
--- a/internal/peering/queue_messages.go
+++ b/internal/peering/queue_messages.go
@@ -8,12 +8,15 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/route"
 )
 
 const (
-	// maxHeld limits the held prompts in a datagram, maxWork the services whose work it holds.
+	// maxHeld limits the held prompts in a datagram, maxWork the services and priorities whose work it holds.
 	maxHeld = 12
 	maxWork = 3
+	// maxRunning limits the entries of running short prompts, by service and priority.
+	maxRunning = 8
 	// workUnit is the resolution of the work by length. It is coarse because only the proportions matter.
 	workUnit = 100 * time.Millisecond
 )
@@ -23,6 +26,7 @@
 	Service   uint32
 	WaitedMS  uint32
 	PrefillMS uint32
+	Rank      uint16
 }
 
 type workMessage struct {
@@ -31,6 +35,36 @@
 	PendingMS uint32
 	// Admitted and Sent are in units of workUnit.
 	Admitted, Sent [dispatch.LengthClasses]uint32
+	Rank           uint16
+}
+
+type runningMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Service  uint32
+	Rank     uint16
+	Requests uint32
+}
+
+func encodeRunning(running []dispatch.RunningShort) []runningMessage {
+	messages := make([]runningMessage, 0, len(running))
+	for _, r := range running[:min(len(running), maxRunning)] {
+		messages = append(messages, runningMessage{Service: uint32(r.Service), Rank: uint16(r.Rank), Requests: uint32(min(r.Requests, maxCount))})
+	}
+	return messages
+}
+
+func decodeRunning(messages []runningMessage) ([]dispatch.RunningShort, error) {
+	if len(messages) > maxRunning {
+		return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("running prompts of too many priorities")}
+	}
+	var running []dispatch.RunningShort
+	for _, r := range messages {
+		if r.Requests > maxCount {
+			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("running prompts out of range")}
+		}
+		running = append(running, dispatch.RunningShort{Service: dispatch.Key(r.Service), Rank: route.Rank(r.Rank), Requests: int(r.Requests)})
+	}
+	return running, nil
 }
 
 // encodeHeld returns the messages for held prompts. If there are more than fit, it keeps the oldest, which are sent
@@ -43,7 +77,7 @@
 	}
 	messages := make([]heldMessage, 0, len(held))
 	for _, h := range held {
-		messages = append(messages, heldMessage{Service: uint32(h.Service), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill)})
+		messages = append(messages, heldMessage{Service: uint32(h.Service), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill), Rank: uint16(h.Rank)})
 	}
 	return messages
 }
@@ -58,7 +92,7 @@
 	}
 	messages := make([]workMessage, 0, len(work))
 	for _, w := range work {
-		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending)}
+		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending), Rank: uint16(w.Rank)}
 		for c := range dispatch.LengthClasses {
 			m.Admitted[c], m.Sent[c] = workUnits(w.Admitted[c]), workUnits(w.Sent[c])
 		}
@@ -87,7 +121,7 @@
 			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("held prompt out of range")}
 		}
 		held = append(held, dispatch.HeldPrompt{
-			Service: dispatch.Key(h.Service), Waited: time.Duration(h.WaitedMS) * time.Millisecond, Prefill: time.Duration(h.PrefillMS) * time.Millisecond,
+			Service: dispatch.Key(h.Service), Rank: route.Rank(h.Rank), Waited: time.Duration(h.WaitedMS) * time.Millisecond, Prefill: time.Duration(h.PrefillMS) * time.Millisecond,
 		})
 	}
 	return held, nil
@@ -102,7 +136,7 @@
 		if m.PendingMS > maxMilliseconds {
 			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("pending prefill out of range")}
 		}
-		w := dispatch.LongWork{Service: dispatch.Key(m.Service), Pending: time.Duration(m.PendingMS) * time.Millisecond}
+		w := dispatch.LongWork{Service: dispatch.Key(m.Service), Rank: route.Rank(m.Rank), Pending: time.Duration(m.PendingMS) * time.Millisecond}
 		for c := range dispatch.LengthClasses {
 			if m.Admitted[c] > maxCount || m.Sent[c] > maxCount {
 				return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("work out of range")}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -41,6 +41,8 @@
 	MaxAttempts int
 	// Public routes need no caller key.
 	Public bool
+	// Priority is 0 for the most urgent requests, and at most MaxPriority.
+	Priority int
 	// Resumable streams may continue at another backend server after the last event delivered.
 	Resumable bool
 	Shares    []Share
@@ -105,11 +107,22 @@
 	// workspaces maps caller keys to workspaces. It is nil if the table names no workspaces.
 	workspaces map[string]string
 	routeCount int
+	// priorities holds the workspaces with a priority of their own, ranks the ranks by service.
+	priorities map[string]int
+	ranks      map[string]RankRange
+}
+
+// Option configures a Table.
+type Option func(*Table)
+
+// WithPriorities sets the priorities of workspaces, 0 to MaxPriority, which take precedence over those of routes.
+func WithPriorities(byWorkspace map[string]int) Option {
+	return func(t *Table) { t.priorities = byWorkspace }
 }
 
 // NewTable returns a table. workspaces maps each caller key to its workspace; nil means that the table names no workspaces, so that
 // no request needs a key. An empty map means that no key is known.
-func NewTable(version int64, routes []Route, services []Service, workspaces map[string]string, limits Limits) *Table {
+func NewTable(version int64, routes []Route, services []Service, workspaces map[string]string, limits Limits, options ...Option) *Table {
 	t := &Table{
 		Version: version, Limits: limits, services: make(map[string]*Service, len(services)),
 		routesByHost: map[string][]*Route{}, workspaces: workspaces, routeCount: len(routes),
@@ -120,6 +133,10 @@
 	for _, r := range routes {
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], &r)
 	}
+	for _, o := range options {
+		o(t)
+	}
+	t.ranks = t.findRanks(routes)
 	for _, list := range t.routesByHost {
 		// The longest prefix comes first, so that the first match is the most specific one.
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
