--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -14,6 +14,7 @@
 
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
+	"berylward.example/berylward/internal/route"
 )
 
 const (
@@ -46,6 +47,12 @@
 	burstStart, burstEnd time.Duration
 	// duration is how long callers arrive; zero means overloadDuration.
 	duration time.Duration
+	// ranked makes short prompts more urgent than long ones.
+	ranked bool
+	// shortBurst multiplies shortPerSecond from burstStart to burstEnd; zero means that there is no such burst.
+	shortBurst float64
+	// joining is how long the gateways do not know each other after the start.
+	joining time.Duration
 	// slowdown multiplies the time that engines take to prefill, compared with what planners expect; zero means 1.
 	slowdown float64
 }
@@ -61,12 +68,22 @@
 	return o.load
 }
 
+// shortRateAt returns the rate of short prompts at a time after the start.
+func (o overload) shortRateAt(elapsed time.Duration) float64 {
+	if o.shortBurst > 0 && elapsed >= o.burstStart && elapsed < o.burstEnd {
+		return o.shortPerSecond * o.shortBurst
+	}
+	return o.shortPerSecond
+}
+
 // caller sends one prompt, and sends it once more after it was refused.
 type caller struct {
 	gateway *dispatch.Planner
 	profile dispatch.RequestProfile
 	nextTry time.Time
 	served  bool
+	// prefilledAt is when the prompt was prefilled; zero if it was not sent.
+	prefilledAt time.Time
 	// refusedAfter holds how long the prompt was held before each refusal.
 	refusedAfter []time.Duration
 }
@@ -89,6 +106,7 @@
 	waiting  []*caller
 	sent     []*sentPrompt
 	long     []*caller
+	short    []*caller
 }
 
 func newOverloadRun(o overload, seed uint64) *overloadRun {
@@ -96,6 +114,7 @@
 	for i := range o.gateways {
 		p := dispatch.NewPlanner(fmt.Sprintf("z-%d", i%3), dispatch.WithRandomSource(rand.NewPCG(seed, uint64(i))))
 		p.SetGatewayCount(o.gateways)
+		p.SetJoining(o.joining > 0)
 		r.planners = append(r.planners, p)
 	}
 	return r
@@ -111,9 +130,14 @@
 			r.servers = r.servers[r.lostEngines:]
 		}
 		r.finish(now)
-		if now.Sub(start)%reportInterval == 0 {
+		if now.Sub(start)%reportInterval == 0 && now.Sub(start) >= r.joining {
 			r.report(now)
 		}
+		if r.joining > 0 && now.Equal(start.Add(r.joining)) {
+			for _, p := range r.planners {
+				p.SetJoining(false)
+			}
+		}
 		r.tryAll(now)
 	}
 }
@@ -124,11 +148,19 @@
 	longRate := r.loadAt(now.Sub(start)) * float64(r.engines) / meanLongPrefill.Seconds()
 	if r.random.Float64() < longRate*perTick {
 		tokens := min(int64(193_000*math.Exp(0.52*r.random.NormFloat64())), 700_000)
-		r.long = append(r.long, r.newCaller(now, dispatch.RequestProfile{Engine: engine, Prompt: tokens, Answer: 800, Target: 4 * time.Second}, 15*time.Second))
+		profile := dispatch.RequestProfile{Engine: engine, Prompt: tokens, Answer: 800, Target: 4 * time.Second}
+		if r.ranked {
+			profile.Rank, profile.Ranks = 1, route.RankRange{Most: 0, Least: 1}
+		}
+		r.long = append(r.long, r.newCaller(now, profile, 15*time.Second))
 	}
-	for expected := r.shortPerSecond * perTick; expected > 0; expected-- {
+	for expected := r.shortRateAt(now.Sub(start)) * perTick; expected > 0; expected-- {
 		if r.random.Float64() < expected {
-			r.newCaller(now, shortProfile(), 10*time.Second)
+			profile := shortProfile()
+			if r.ranked {
+				profile.Ranks = route.RankRange{Most: 0, Least: 1}
+			}
+			r.short = append(r.short, r.newCaller(now, profile, 10*time.Second))
 		}
 	}
 }
@@ -194,7 +226,7 @@
 			done = r.freeAt[s.ID]
 		}
 	}
-	c.served = done.Before(c.profile.Deadline)
+	c.served, c.prefilledAt = done.Before(c.profile.Deadline), done
 	r.sent = append(r.sent, &sentPrompt{caller: c, id: id, prefilledAt: done, endsAt: done.Add(answerTime)})
 }
 
