command: berylward table check

Cause: operators could not check a routing table before they publish it.

Errors may have an exit status of their own; all other commands end with 1 as before.

--- a/cmd/berylward/main.go
+++ b/cmd/berylward/main.go
@@ -9,6 +9,6 @@
 
 func main() {
 	if err := command.New().Execute(); err != nil {
-		os.Exit(1)
+		os.Exit(command.ExitStatus(err))
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,7 +20,7 @@
 	}
 	root.AddCommand(
 		newEntry(), newSidecar(), newGateway(), newDemo(), newStandIn(),
-		newDeclare(), newStatus(), newPrompts(), newSoak(), newLoad(), newCapacity(), newVersion(), newDocs(),
+		newDeclare(), newStatus(), newPrompts(), newSoak(), newLoad(), newCapacity(), newTableCommand(), newVersion(), newDocs(),
 	)
 	return root
 }
