--- a/internal/command/table.go
+++ b/internal/command/table.go
@@ -159,13 +159,15 @@
 		return fmt.Sprintf("%s: not checked: %v", c.file, c.err)
 	}
 	r := c.report
-	omitted := ""
+	omitted, table := "", fmt.Sprintf("version %d with %d route(s), %d service(s) and %d workspace(s)", r.Version, r.Routes, r.Services, r.Workspaces)
+	if !r.Readable {
+		table = "no table"
+	}
 	if r.Omitted > 0 {
 		omitted = fmt.Sprintf("; %d finding(s) not shown", r.Omitted)
 	}
-	return fmt.Sprintf("%s: version %d with %d route(s), %d service(s) and %d workspace(s): %d error(s), %d warning(s), %d difference(s)%s",
-		c.file, r.Version, r.Routes, r.Services, r.Workspaces, r.Counts[tablecheck.SeverityError], r.Counts[tablecheck.SeverityWarning],
-		r.Counts[tablecheck.SeverityDifference], omitted)
+	return fmt.Sprintf("%s: %s: %d error(s), %d warning(s), %d difference(s)%s", c.file, table, r.Counts[tablecheck.SeverityError],
+		r.Counts[tablecheck.SeverityWarning], r.Counts[tablecheck.SeverityDifference], omitted)
 }
 
 // tableStatus returns an error with the exit status of all files, or nil.
--- a/internal/tablecheck/compare.go
+++ b/internal/tablecheck/compare.go
@@ -173,11 +173,11 @@
 // shareText returns the services of a route with their weights, by name. The order of shares does not count.
 func shareText(r Route) string {
 	if len(r.Shares) == 0 {
-		return r.SoleService + " 1"
+		return fmt.Sprintf("%q 1", r.SoleService)
 	}
 	texts := make([]string, 0, len(r.Shares))
 	for _, s := range r.Shares {
-		texts = append(texts, fmt.Sprintf("%s %d", s.Service, s.Weight))
+		texts = append(texts, fmt.Sprintf("%q %d", s.Service, s.Weight))
 	}
 	slices.Sort(texts)
 	return strings.Join(texts, ", ")
