tablecheck: priorities of routes are those of package route

Cause: the check had its own field and bound while the table did not decode priorities. Change: both come from package route.

--- a/internal/tablecheck/place.go
+++ b/internal/tablecheck/place.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"berylward.example/berylward/internal/route"
 )
 
 // Part is a kind of entry of a routing table.
@@ -108,15 +110,13 @@
 	maxTokens = 1 << 40
 	// maxAttempts bounds the backend servers of one request. Gateways send a request 4 times at most.
 	maxAttempts = 1000
-	// maxPriority is the least urgent priority. Gateways report priorities to each other in one byte.
-	maxPriority = 255
 )
 
 var ranges = map[Field]Range{
 	// Version may be a time in nanoseconds.
 	FieldVersion:           {Min: 1, Max: 1 << 62, Whole: true},
 	FieldMaxAttempts:       {Max: maxAttempts, Whole: true},
-	FieldPriority:          {Max: maxPriority, Whole: true},
+	FieldPriority:          {Max: route.MaxPriority, Whole: true},
 	FieldWeight:            {Max: maxCount, Whole: true},
 	FieldMaxConnections:    {Max: maxCount, Whole: true},
 	FieldColdRate:          {Max: maxCount},
--- a/internal/tablecheck/table.go
+++ b/internal/tablecheck/table.go
@@ -28,8 +28,6 @@
 // Route is a route of the table. Its zero values are those that gateways use for a missing value, except for Shares.
 type Route struct {
 	route.Route
-	// Priority is the rank of the route's requests; 0 is the most urgent.
-	Priority int
 	// SoleService is the service that all requests go to. It is used if the route has no Shares.
 	SoleService string
 	// ShortestHeader is the size in bytes of the shortest header of a request on the route.
