--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -311,6 +311,11 @@
 	}
 	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
 	t.row("held long prompts", "%d at all gateways, %d ms of prefill", st.HeldLong, st.HeldPrefill)
+	for _, service := range slices.Sorted(maps.Keys(st.RunningShort)) {
+		for _, rank := range slices.Sorted(maps.Keys(st.RunningShort[service])) {
+			t.row("running short prompts", "%d of rank %s for %s", st.RunningShort[service][rank], rank, service)
+		}
+	}
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -13,6 +14,10 @@
 	// rankedSendAhead takes the place of sendAhead for prompts that are less urgent than others. What has been sent cannot be
 	// overtaken, and a more urgent prompt has to find an engine free within its target time.
 	rankedSendAhead = 500 * time.Millisecond
+	// urgencyShort and urgencyLong are the priorities of prompts in the queues of engines, if the requests of the service are not
+	// ranked.
+	urgencyShort = 2
+	urgencyLong  = 5
 	// minEnginesLeft keeps predictions finite when more urgent requests take all engines.
 	minEnginesLeft = 0.5
 	// urgentLoad is the share of their time for which engines that are left to more urgent long prompts prefill these. With more, the
@@ -41,6 +46,30 @@
 	return running[:min(len(running), maxRunning)]
 }
 
+// RunningShort returns the short prompts that all gateways have sent for a service and that have not ended, by rank, the most
+// urgent first. It returns none if the requests of the service are not ranked.
+func (p *Planner) RunningShort(now time.Time, service Key) []RunningShort {
+	p.expirePeers(now)
+	byRank := map[route.Rank]int{}
+	for key, n := range p.queue.running {
+		if key.service == service {
+			byRank[key.rank] += n
+		}
+	}
+	for _, peer := range p.queue.peers {
+		for _, r := range peer.running {
+			if r.Service == service {
+				byRank[r.Rank] += r.Requests
+			}
+		}
+	}
+	running := make([]RunningShort, 0, len(byRank))
+	for _, rank := range slices.Sorted(maps.Keys(byRank)) {
+		running = append(running, RunningShort{Service: service, Rank: rank, Requests: byRank[rank]})
+	}
+	return running
+}
+
 // endShort records that a short prompt has ended.
 func (q *longQueue) endShort(r *placedRequest) {
 	if !r.urgent {
@@ -109,6 +138,21 @@
 // yields reports whether other requests for the service are more urgent.
 func (p RequestProfile) yields() bool { return p.Rank > p.Ranks.Most }
 
+// EngineUrgency returns the priority of the prompt in the queue of its engine, 0 to 9; 0 is the most urgent. Short prompts go first, and
+// more urgent prompts before the least urgent ones.
+func (p RequestProfile) EngineUrgency() int {
+	least := p.Ranks.Ranked() && !p.urgent()
+	switch {
+	case p.Short() && !least:
+		return urgencyShort
+	case p.urgent():
+		return urgencyLong - 1
+	case least && !p.Short():
+		return urgencyLong + 1
+	}
+	return urgencyLong
+}
+
 // sendAhead returns the prefill that engines may have before them when the prompt is sent.
 func (p RequestProfile) sendAhead() time.Duration {
 	if p.yields() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,7 +154,7 @@
 		return nil, p.Delay
 	case dispatch.NoPlacement:
 		q.sends--
-		g.log.Info("no placement", "request", q.req.ID, "reason", string(p.Reason), "rank", q.profile.Rank, "tried", len(q.tried), "table", q.current.Version,
+		g.log.Info("no placement", "request", q.req.ID, "reason", string(p.Reason), "rank", q.profile.Rank.String(), "tried", len(q.tried), "table", q.current.Version,
 			"queue-ahead-ms", p.Queue.Ahead.Milliseconds(), "queue-allowed-ms", p.Queue.Allowed.Milliseconds(), "queue-wait-ms", p.Queue.Wait.Milliseconds())
 		q.giveUp(string(p.Reason), p.RetryAfter)
 		return nil, 0
@@ -208,7 +208,7 @@
 	}
 	q.holdReasons = append(q.holdReasons, h.Reason)
 	q.gateway.metrics.count("held-" + string(h.Reason))
-	q.gateway.log.Info("held", "request", q.req.ID, "reason", string(h.Reason), "rank", q.profile.Rank, "expected-ms", h.Expected.Milliseconds(),
+	q.gateway.log.Info("held", "request", q.req.ID, "reason", string(h.Reason), "rank", q.profile.Rank.String(), "expected-ms", h.Expected.Milliseconds(),
 		"mean-unread-ms", h.MeanPending.Milliseconds(), "queue-ahead-ms", h.Queue.Ahead.Milliseconds(),
 		"queue-allowed-ms", h.Queue.Allowed.Milliseconds(), "queue-wait-ms", h.Queue.Wait.Milliseconds(),
 		"elapsed-ms", q.elapsed().Milliseconds(), "gateways", gateways)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -18,9 +18,6 @@
 	dialTimeout = 300 * time.Millisecond
 	// dialTimeoutPlain applies to plain requests, whose deadlines are short.
 	dialTimeoutPlain = 120 * time.Millisecond
-	// urgencyShort and urgencyLong set the priority of prompts at the engine, so that it prefills short prompts first.
-	urgencyShort = 2
-	urgencyLong  = 5
 )
 
 // exchange sends the request to the attempt's backend server and returns the head of the response.
@@ -29,10 +26,7 @@
 	remaining := q.deadline.Sub(g.clock.Now())
 	encoded := Attempt{Server: a.server, Workspace: q.current.Workspace, Remaining: remaining, Urgency: -1}
 	if q.profile.Engine != nil {
-		encoded.Urgency = urgencyLong
-		if q.profile.Short() {
-			encoded.Urgency = urgencyShort
-		}
+		encoded.Urgency = q.profile.EngineUrgency()
 	}
 	for _, s := range a.helpers {
 		encoded.Helpers = append(encoded.Helpers, Helper{Address: s.Address})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -287,7 +287,7 @@
 		q.gateway.metrics.prompts.record(q.admitted.Route.Name, q.profile.Prompt, q.outcome, q.heldTime)
 	}
 	q.gateway.log.Info("request ended", "request", q.req.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
-		"workspace", q.current.Workspace, "rank", q.profile.Rank, "table", q.current.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
+		"workspace", q.current.Workspace, "rank", q.profile.Rank.String(), "table", q.current.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
 		"gap-ms", q.longestGap.Milliseconds(), "took-ms", elapsed.Milliseconds(), "prompt", q.profile.Prompt,
 		"held-ms", q.heldTime.Milliseconds(), "fingerprint", q.fingerprint.Short())
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 
 	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/callers"
+	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/lengths"
 )
 
@@ -30,6 +31,9 @@
 	// engine in milliseconds.
 	HeldLong    int   `json:"held-long"`
 	HeldPrefill int64 `json:"held-prefill-ms"`
+	// RunningShort is by service and rank how many short prompts all gateways have sent that have not ended, for services whose
+	// requests are ranked. Long prompts that are less urgent leave engines free for them.
+	RunningShort map[string]map[string]int `json:"running-short,omitempty"`
 	// Prompts is by route how many prompts of different lengths this gateway has answered since its start.
 	Prompts map[string]lengths.Shares `json:"prompts,omitempty"`
 	// QuarantinedRequests holds by fingerprint for how many milliseconds the request is not sent.
@@ -65,6 +69,7 @@
 	}
 	held, heldPrefill := g.planner.HeldLong(now)
 	s.HeldLong, s.HeldPrefill = held, heldPrefill.Milliseconds()
+	s.RunningShort = g.runningShort(now)
 	for f, until := range g.requests.List(now) {
 		if s.QuarantinedRequests == nil {
 			s.QuarantinedRequests = map[string]int64{}
@@ -81,6 +86,23 @@
 	return s
 }
 
+// runningShort returns the running short prompts by service and rank. It must be called with the gateway's lock held.
+func (g *Gateway) runningShort(now time.Time) map[string]map[string]int {
+	table := g.currentTable.Table()
+	if table == nil {
+		return nil
+	}
+	running := map[string]map[string]int{}
+	for _, service := range table.RankedServices() {
+		byRank := map[string]int{}
+		for _, r := range g.planner.RunningShort(now, dispatch.ServiceKey(service)) {
+			byRank[r.Rank.String()] = r.Requests
+		}
+		running[service] = byRank
+	}
+	return running
+}
+
 // Reload applies the seeds of changed settings. Changed addresses and limits apply only after a restart.
 func (g *Gateway) Reload(s Settings) {
 	g.mu.Lock()
--- a/internal/route/priority.go
+++ b/internal/route/priority.go
@@ -1,6 +1,10 @@
 package route
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"strconv"
+)
 
 // MaxPriority is the largest priority number, which is the least urgent.
 const MaxPriority = 255
@@ -12,6 +16,12 @@
 // newRank returns the rank of requests. A workspace without a priority has that of the route.
 func newRank(workspace, route int) Rank { return Rank(workspace<<8 | route) }
 
+// String returns the priority of the workspace and that of the route, such as 1/0.
+func (r Rank) String() string { return strconv.Itoa(int(r>>8)) + "/" + strconv.Itoa(int(r&MaxPriority)) }
+
+// MarshalText implements encoding.TextMarshaler, for logs and status.
+func (r Rank) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 // RankRange is the range of the ranks of the requests for a service. Most and Least are equal if the requests are not ranked.
 type RankRange struct{ Most, Least Rank }
 
@@ -30,6 +40,9 @@
 // the service different priorities.
 func (t *Table) Ranks(service string) RankRange { return t.ranks[service] }
 
+// RankedServices returns the names of the services whose requests are ranked, in alphabetical order.
+func (t *Table) RankedServices() []string { return slices.Sorted(maps.Keys(t.ranks)) }
+
 // findRanks returns the range of ranks of each service whose routes have different priorities.
 func (t *Table) findRanks(routes []Route) map[string]RankRange {
 	byService := map[string][]*Route{}
