--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -64,6 +64,14 @@
 	// pairs of a token and an earlier one.
 	PrefillRate                float64
 	PrefillTimePerMillionPairs time.Duration
+	// PrefillChunk is the largest number of prompt tokens that are prefilled for each token step of an iteration; zero means that
+	// the engine states no limit.
+	PrefillChunk int64
+	// HelperStepTime is added to each token step of an answer whose prompt was prefilled by several engines.
+	HelperStepTime time.Duration
+	// UsualPrompt and UsualAnswer are the mean numbers of tokens of a prompt and of an answer as operators expect them; zero if
+	// they are not stated.
+	UsualPrompt, UsualAnswer int64
 }
 
 // PrefillTime returns the time that one engine needs to prefill a prompt alone.
