forecast: memory, effect on others, parts of a prompt and sums of reports

Predict waits for memory, reports a preemption and bounds the longest pause that it causes by the iterations that the prompt fills. Senseless figures of tables and reports give finite times.

Against the simulation of iterations: first event and end within one iteration in 16 named and 200 random loads at 5 moments of arrival, in 7 joint prefills and 3 states of memory, each for both engines.

--- a/internal/forecast/engine.go
+++ b/internal/forecast/engine.go
@@ -15,8 +15,7 @@
 	"berylward.example/berylward/internal/route"
 )
 
-// Engine holds the published figures of an engine in the units of the model. Times are in seconds. The zero value predicts no
-// time for anything.
+// Engine holds the published figures of an engine in the units of the model. Times are in seconds. See NewEngine.
 type Engine struct {
 	slots, memory float64 // requests; tokens, infinite if not stated
 	stride        float64 // token steps of an iteration
@@ -31,20 +30,33 @@
 // NewEngine returns the figures of an engine. A nil engine has none.
 func NewEngine(e *route.Engine) Engine {
 	if e == nil {
-		return Engine{slots: math.Inf(1), memory: math.Inf(1), stride: 1, chunk: math.Inf(1)}
+		return Engine{slots: math.Inf(1), memory: math.Inf(1), stride: 1, chunk: math.Inf(1), usualOutput: defaultOutput}
 	}
 	out := Engine{
-		slots: orUnlimited(float64(e.Slots)), memory: orUnlimited(float64(e.KVCacheTokens)), stride: float64(max(e.StepsPerIteration, 1)),
-		step: e.StepTime.Seconds(), perSequence: e.StepTimePerSequence.Seconds(), perContext: e.StepTimePer1000Context.Seconds() / 1000,
-		hop: e.HelperStepTime.Seconds(), perPair: e.PrefillTimePerMillionPairs.Seconds() / 1e6, chunk: orUnlimited(float64(e.PrefillChunk)),
-		usualPrompt: float64(e.UsualPrompt), usualOutput: float64(e.UsualAnswer),
+		slots: orUnlimited(float64(e.Slots)), memory: orUnlimited(float64(e.KVCacheTokens)), stride: max(bounded(float64(e.StepsPerIteration)), 1),
+		step: bounded(e.StepTime.Seconds()), perSequence: bounded(e.StepTimePerSequence.Seconds()),
+		perContext: bounded(e.StepTimePer1000Context.Seconds()) / 1000, hop: bounded(e.HelperStepTime.Seconds()),
+		perPair: bounded(e.PrefillTimePerMillionPairs.Seconds()) / 1e6, chunk: orUnlimited(float64(e.PrefillChunk)),
+		usualPrompt: bounded(float64(e.UsualPrompt)), usualOutput: bounded(float64(e.UsualAnswer)),
 	}
 	if e.PrefillRate > 0 {
 		out.perPrompt = 1 / e.PrefillRate
 	}
+	if out.usualOutput == 0 {
+		out.usualOutput = defaultOutput
+	}
 	return out
 }
 
+// defaultOutput is the number of tokens of an answer where the table states none.
+const defaultOutput = 512
+
+// maxFigure bounds the figures of tables and reports, so that predictions from senseless ones stay finite.
+const maxFigure = 1 << 40
+
+// bounded returns a figure that is neither negative nor unlimited.
+func bounded(figure float64) float64 { return min(max(figure, 0), maxFigure) }
+
 // orUnlimited returns a limit, which is infinite if it is not stated.
 func orUnlimited(limit float64) float64 {
 	if limit <= 0 {
@@ -102,6 +114,9 @@
 	Helpers int
 }
 
+// parts returns the number of parts of the prompt.
+func (r Request) parts() float64 { return bounded(float64(r.Helpers)) + 1 }
+
 // Prediction is the predicted course of one more request and its effect on those already there. Times count from now.
 type Prediction struct {
 	// First is the time to the first event, Gap the pause between events afterwards, End the time to the complete answer. What
--- a/internal/forecast/engine_sim_test.go
+++ b/internal/forecast/engine_sim_test.go
@@ -1,6 +1,7 @@
 package forecast_test
 
 import (
+	"slices"
 	"time"
 
 	"berylward.example/berylward/internal/forecast"
@@ -11,6 +12,7 @@
 type simRequest struct {
 	prompt, output, parts float64
 	left, written         float64 // prompt tokens to prefill, tokens generated
+	ready                 float64 // when the parts at other engines are prefilled
 	first, end            float64
 	events                []float64
 }
@@ -28,22 +30,23 @@
 	preempted      int
 }
 
+func (s *simEngine) used() float64 {
+	used := 0.0
+	for _, r := range s.slots {
+		used += r.context()
+	}
+	return used
+}
+
 func (s *simEngine) admit() {
-	for len(s.waiting) > 0 && len(s.slots) < s.e.Slots {
+	for len(s.waiting) > 0 && len(s.slots) < s.e.Slots && s.used()+s.waiting[0].context() <= float64(s.e.KVCacheTokens) {
 		s.slots, s.waiting = append(s.slots, s.waiting[0]), s.waiting[1:]
 	}
 }
 
 // preempt returns the newest requests to the queue while the engine has too little memory.
 func (s *simEngine) preempt() {
-	for len(s.slots) > 1 {
-		used := 0.0
-		for _, r := range s.slots {
-			used += r.prompt/r.parts - r.left + r.written
-		}
-		if used <= float64(s.e.KVCacheTokens) {
-			return
-		}
+	for len(s.slots) > 1 && s.used() > float64(s.e.KVCacheTokens) {
 		r := s.slots[len(s.slots)-1]
 		r.left = r.prompt + r.written
 		s.slots, s.waiting = s.slots[:len(s.slots)-1], append([]*simRequest{r}, s.waiting...)
@@ -56,9 +59,14 @@
 	s.preempt()
 	s.admit()
 	steps := 1.0
-	var generating, prefilled []*simRequest
+	var generating, joint, other []*simRequest
 	for _, r := range s.slots {
-		if r.left == 0 {
+		if r.parts > 1 {
+			joint = append(joint, r)
+		} else {
+			other = append(other, r)
+		}
+		if r.left == 0 && r.written > 0 {
 			steps = float64(s.e.StepsPerIteration)
 			generating = append(generating, r)
 		}
@@ -73,7 +81,8 @@
 		r.written += n
 	}
 	budget := float64(s.e.PrefillChunk) * steps
-	for _, r := range append(append([]*simRequest{}, s.parts...), s.slots...) {
+	all := slices.Concat(s.parts, joint, other)
+	for _, r := range all {
 		if n := min(r.left, budget); n > 0 {
 			// Each part of a prompt has an equal share of all pairs.
 			earlier := (r.prompt/r.parts - r.left) * r.parts
@@ -81,18 +90,17 @@
 			budget -= n
 			if r.left -= n; r.left < 0.5 {
 				r.left = 0
-				prefilled = append(prefilled, r)
 			}
 		}
 	}
 	took *= s.slowness
 	s.now += took
 	s.longest = max(s.longest, took)
-	for _, r := range prefilled {
+	for _, r := range all {
+		if r.left > 0 || s.now < r.ready {
+			continue
+		}
 		r.written = max(r.written, 1)
-		generating = append(generating, r)
-	}
-	for _, r := range generating {
 		if r.first == 0 {
 			r.first = s.now
 		}
@@ -125,7 +133,7 @@
 // load returns what gateways know of the engine: sums.
 func (s *simEngine) load() forecast.Load {
 	l := forecast.Load{Slowness: s.slowness}
-	for _, r := range append(append(append([]*simRequest{}, s.slots...), s.waiting...), s.parts...) {
+	for _, r := range slices.Concat(s.slots, s.waiting, s.parts) {
 		l.PrefillTokens += int64(r.left)
 		done := r.prompt - r.left*r.parts
 		l.PrefillTime += time.Duration((float64(s.e.PrefillTime(int64(r.prompt))) - float64(s.e.PrefillTime(int64(done)))) / r.parts)
--- a/internal/forecast/predict.go
+++ b/internal/forecast/predict.go
@@ -22,8 +22,8 @@
 
 func newOutlook(e *Engine, l *Load) outlook {
 	o := outlook{
-		engine: e, running: float64(l.Generating), prefilling: float64(l.Prefilling), waiting: float64(l.Waiting),
-		joint: float64(l.Joint), tokens: float64(l.PrefillTokens), prefill: l.PrefillTime.Seconds(),
+		engine: e, running: bounded(float64(l.Generating)), prefilling: bounded(float64(l.Prefilling)), waiting: bounded(float64(l.Waiting)),
+		joint: bounded(float64(l.Joint)), tokens: bounded(float64(l.PrefillTokens)), prefill: max(l.PrefillTime.Seconds(), 0),
 	}
 	switch {
 	case o.tokens <= 0:
@@ -31,10 +31,10 @@
 	case o.prefill <= 0:
 		o.prefill = e.prefillSeconds(o.tokens, 0)
 	}
-	output := float64(l.OutputLeft)
+	output := bounded(float64(l.OutputLeft))
 	o.span = 2 * output / (o.running + o.prefilling + 1)
 	if o.running > 0 {
-		o.context = float64(l.Context) / o.running
+		o.context = bounded(float64(l.Context)) / o.running
 		// The answers of requests that are prefilled have all their tokens left.
 		if rest := output - o.prefilling*e.usualOutput; rest > 0 {
 			output = rest
@@ -82,9 +82,6 @@
 // generate a usual answer.
 func (o *outlook) presence(before, span float64) float64 {
 	usual := o.engine.usualOutput
-	if usual <= 0 {
-		return 1
-	}
 	before = min(before, usual)
 	if before <= 0 {
 		return min(1, usual/span)
@@ -124,11 +121,7 @@
 	e := o.engine
 	slots := min(e.slots, o.running+o.prefilling)
 	span := max(o.span/e.stride, 1)
-	output := e.usualOutput
-	if output <= 0 {
-		output = o.span
-	}
-	hold := o.hold(output)
+	hold := o.hold()
 	// Round k of requests ends between hold*k and hold*k+span, slots/span of them in each iteration.
 	rate := slots / span
 	at, active, first, started, ended := 0.0, 1.0, 0.0, 1.0, 0.0
@@ -151,8 +144,8 @@
 }
 
 // hold returns the number of iterations for which a request that has not begun holds a slot.
-func (o *outlook) hold(output float64) float64 {
-	return max(1, o.iterations(o.meanAhead())) + math.Ceil(max(output-1, 0)/o.engine.stride)
+func (o *outlook) hold() float64 {
+	return max(1, o.iterations(o.meanAhead())) + math.Ceil(max(o.engine.usualOutput-1, 0)/o.engine.stride)
 }
 
 // course is the course of the new request in the units of the model.
@@ -169,8 +162,8 @@
 func Predict(e Engine, l Load, r Request) Prediction {
 	o := newOutlook(&e, &l)
 	c := o.begin(r)
-	slowness := max(l.Slowness, 1)
-	output := max(float64(r.Output), 1)
+	slowness := max(bounded(l.Slowness), 1)
+	output := max(bounded(float64(r.Output)), 1)
 	var p Prediction
 
 	// The requests that went before generate with this one, as long as they and it do.
@@ -193,9 +186,9 @@
 		generating = min(generating+presence*ahead, max(e.slots-1, 0)) + 1
 		end += math.Ceil((output-1)/e.stride) * e.stride * e.stepSeconds(generating, context, joint)
 	}
-	if o.overflows(c, ahead, output) {
+	if lost, ok := o.preemption(c, ahead, output); ok {
 		p.Preempted = true
-		end += c.prefill + c.iterations*pause
+		end += c.prefill + (c.iterations+lost/e.stride)*pause
 	}
 	if others > 0 || o.running > 0 {
 		added := e.perSequence + c.prompt*e.perContext
@@ -220,7 +213,7 @@
 	o := newOutlook(&e, &l)
 	c := o.newCourse(r)
 	o.prefillFirst(&c)
-	slowness := max(l.Slowness, 1)
+	slowness := max(bounded(l.Slowness), 1)
 	p := Prediction{First: seconds(slowness * c.first), End: seconds(slowness * c.first)}
 	if o.running > 0 {
 		p.AddedGap = seconds(slowness * o.addedPrefill(c, r))
@@ -233,8 +226,8 @@
 
 // newCourse returns the course of a request that has not begun.
 func (o *outlook) newCourse(r Request) course {
-	parts := float64(max(r.Helpers, 0) + 1)
-	prompt := max(float64(r.Prompt), 1)
+	parts := r.parts()
+	prompt := max(bounded(float64(r.Prompt)), 1)
 	c := course{prompt: prompt / parts, prefill: o.engine.prefillSeconds(prompt, 0) / parts}
 	c.iterations = max(1, o.iterations(c.prompt))
 	return c
@@ -258,6 +251,7 @@
 	if ends > 0 {
 		start = o.release(ends)
 	}
+	start = o.awaitMemory(start, c.prompt)
 	iterations := max(start+c.iterations, 1+o.iterations(o.tokens+c.prompt))
 	c.begin = iterations * e.stride
 	started := min(o.prefilling+o.meanStarted(ends), e.slots)
@@ -279,10 +273,7 @@
 	if o.waiting > e.slots {
 		slots = e.slots - e.slots*e.slots/(2*o.waiting)
 	}
-	if e.usualOutput <= 0 {
-		return slots
-	}
-	return slots * min(1, e.usualOutput/(o.hold(e.usualOutput)*e.stride))
+	return slots * min(1, e.usualOutput/(o.hold()*e.stride))
 }
 
 // beginWithoutGenerating sets the course of a request at an engine on which nothing generates yet. Until the first of the pending
@@ -347,29 +338,68 @@
 	return o.prefillIn(min(tokens, budget))
 }
 
-// addedPrefill returns by how much the longest prefill of one iteration grows with the new request.
+// addedPrefill returns by how much the longest prefill of one iteration grows with the new request. The iterations before it are
+// taken as full of pending prefill, so its prompt begins beside what is left of that.
 func (o *outlook) addedPrefill(c course, r Request) float64 {
 	budget := o.budget()
 	before := o.prefillIn(min(o.tokens, budget))
-	own := c.prefill
-	if c.prompt > budget {
-		// The last tokens of a prompt have the most earlier ones.
-		own = o.engine.prefillSeconds(budget, float64(r.Prompt)-budget)
+	beside := 0.0
+	if o.tokens > 0 && !math.IsInf(budget, 1) && r.Helpers == 0 {
+		beside = math.Mod(o.tokens, budget)
+	}
+	if c.prompt+beside <= budget {
+		return max(c.prefill+o.prefillIn(beside)-before, 0)
+	}
+	// Of the iterations that the prompt fills, the last has the most pairs, and the one after it prefills the rest.
+	part := func(tokens, earlier float64) float64 {
+		parts := r.parts()
+		return o.engine.prefillSeconds(tokens, earlier*parts+tokens*(parts-1)/2)
+	}
+	head := budget - beside
+	full := math.Floor((c.prompt - head) / budget)
+	longest := max(part(head, 0)+o.prefillIn(beside), part(c.prompt-head-full*budget, head+full*budget))
+	if full > 0 {
+		longest = max(longest, part(budget, head+(full-1)*budget))
+	}
+	return max(longest-before, 0)
+}
+
+// maxEnds bounds how many ends of requests a prediction looks ahead for memory.
+const maxEnds = 64
+
+// awaitMemory returns the iteration from start on at which the engine has memory for a prompt.
+func (o *outlook) awaitMemory(start, prompt float64) float64 {
+	for range maxEnds {
+		at := start * o.engine.stride
+		if o.remaining(at) == 0 || o.contextAt(at)+o.tokens+prompt <= o.engine.memory {
+			break
+		}
+		start = math.Ceil((o.ended(at) + 1) * o.interval / o.engine.stride)
 	}
-	after := own + o.prefillIn(max(min(o.tokens, budget-c.prompt), 0))
-	return max(after-before, 0)
+	return start
 }
 
-// overflows reports whether the engine has too little memory at a time between the begin of the new request and its end.
-func (o *outlook) overflows(c course, ahead, output float64) bool {
-	for _, share := range [3]float64{0, 0.5, 1} {
-		grown := share * output
-		used := o.contextAt(c.begin+grown) + ahead*(o.meanAhead()+min(grown, o.engine.usualOutput)) + c.prompt + grown
-		if used > o.engine.memory {
-			return true
+// preemption reports whether the engine has too little memory at a time between the begin of the new request and its end, and how
+// many token steps pass until one of the others has ended.
+func (o *outlook) preemption(c course, ahead, output float64) (float64, bool) {
+	memory := o.engine.memory - ahead*o.meanAhead() - c.prompt
+	if o.contextAt(c.begin)+o.remaining(c.begin)*output+ahead*min(output, o.engine.usualOutput)+output <= memory {
+		return 0, false
+	}
+	ended := o.ended(c.begin)
+	for range maxEnds {
+		left := o.running - ended
+		full := (memory - left*o.context + c.begin*(ahead+1)) / (left + ahead + 1) // when the memory is used up if none ends before
+		next := (ended + 1) * o.interval
+		switch {
+		case full >= c.begin+output:
+			return 0, false
+		case left <= 0 || full < next:
+			return max(next-max(full, c.begin), 0), true
 		}
+		ended++
 	}
-	return false
+	return 0, false
 }
 
 // maxSeconds keeps durations in range.
