gateway: predicted and measured times to first events are compared

Nobody could see how well placements predict the time to the first event, on which holds and refusals rest. Gateways now compare both by route and band of prompt length in gateway-forecasts, in the status and in two fields of request ended.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -311,6 +311,11 @@
 	}
 	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
 	t.row("held long prompts", "%d at all gateways, %d ms of prefill", st.HeldLong, st.HeldPrefill)
+	for _, key := range slices.Sorted(maps.Keys(st.Forecasts)) {
+		f := st.Forecasts[key]
+		t.row("first events", "%s: %d, half within %d ms and 9 of 10 within %d ms, %d and %d predicted, %d later than predicted; off by %d and %d ms",
+			key, f.Count, f.Measured.P50, f.Measured.P90, f.Predicted.P50, f.Predicted.P90, f.Late, f.Distance.P50, f.Distance.P90)
+	}
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
--- a/internal/command/status_test.go
+++ b/internal/command/status_test.go
@@ -66,6 +66,8 @@
 				return writeGateway(w, gateway.Status{
 					Instance: "front-1", Zone: "banos", Stopping: true, Running: 2, TableVersion: 7, TableAge: 1200, BackendServers: 24, Gateways: 6,
 					ReportAges: map[string]int64{"el-centro": 90, "banos": 40}, CallerConnections: callers.Usage{Limit: 1009, Open: 12, Peak: 240},
+					Forecasts: map[string]gateway.ForecastAccuracy{"review/8k": {Count: 40, Late: 9, Predicted: gateway.TimeQuantiles{P50: 70, P90: 90},
+						Measured: gateway.TimeQuantiles{P50: 80, P90: 120}, Distance: gateway.TimeQuantiles{P50: 12, P90: 33}}},
 					RequestBodies: body.Usage{Limit: 9000, Used: 100, Peak: 800, Refused: 1}, QuarantinedRequests: map[string]int64{"ab12": 600},
 					Unavailable: []gateway.UnavailableServer{{ID: "i-1", Service: "desk", Reason: "busy", ForMS: 300}, {ID: "i-2", Service: "desk", Reason: "leaving"}},
 				})
@@ -76,6 +78,7 @@
 				"reports from banos: 40 ms old at most", "callers 12 connections of 1009, 240 at most so far",
 				"request bodies 100 bytes of 9000, 800 at most so far, 1 refused", "response bodies 0 bytes of any number, 0 at most so far, 0 refused",
 				"quarantined request ab12 for 600 ms",
+				"first events review/8k: 40, half within 80 ms and 9 of 10 within 120 ms, 70 and 90 predicted, 9 later than predicted; off by 12 and 33 ms",
 			},
 		},
 		"gateway without a table": {
--- a/internal/gateway/logs_test.go
+++ b/internal/gateway/logs_test.go
@@ -137,3 +137,51 @@
 		})
 	}
 }
+
+// Guards against a request whose predicted time to the first event cannot be compared with the measured one, and against times of an
+// earlier attempt that had no event.
+func TestForecastsCompared(t *testing.T) {
+	cases := map[string]struct {
+		path string
+		// fault is that of the backend server which is tried first.
+		fault direct.ServerFault
+		// sends is the number of attempts, events the number of those with a first event.
+		sends  float64
+		events int64
+	}{
+		"stream":                        {"/draft/a", direct.NoFault{}, 1, 1},
+		"stream resumed elsewhere":      {"/draft/a", direct.ClosesEarly{After: 1}, 2, 2},
+		"first attempt without events":  {"/draft/a", direct.Errors{}, 2, 1},
+		"plain service, no predictions": {"/look/a", direct.NoFault{}, 1, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			out := &logBuffer{}
+			logs, err := telemetry.NewLogs(out, "")
+			assert.NilError(t, err)
+			withHarness(t, func(h *harness) {
+				// An idle fleet is filled in the same order again.
+				before := h.call(http.MethodPost, tc.path, nil)
+				first := out.linesFor(t, before.id)[0]["backend"]
+				for _, b := range h.backends {
+					if b.Server.ID == first {
+						b.SetFault(tc.fault)
+					}
+				}
+				got := h.call(http.MethodPost, tc.path, nil)
+				assert.Equal(t, got.Status, http.StatusOK)
+				lines := out.linesFor(t, got.id)
+				last := lines[len(lines)-1]
+				assert.Equal(t, last["sends"], tc.sends)
+				expected, measured := 0.0, 0.0
+				if tc.events > 0 {
+					expected, measured = lines[len(lines)-2]["expected-ms"].(float64), last["measured-first-ms"].(float64)
+					assert.Check(t, measured > 0 && measured <= last["took-ms"].(float64), "%v", last)
+				}
+				assert.Equal(t, last["predicted-first-ms"], expected)
+				assert.Equal(t, last["measured-first-ms"], measured)
+				assert.Equal(t, h.gateway.Status().Forecasts[last["route"].(string)+"/8k"].Count, tc.events+min(tc.events, 1))
+			}, gateway.WithLogger(logs.Logger("gateway")))
+		})
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,17 +27,19 @@
 type metrics struct {
 	counters   *expvar.Map
 	prompts    *promptMetrics
+	forecasts  *forecastMetrics
 	mu         sync.Mutex
 	histograms *simplelru.LRU[string, *hdrhistogram.Histogram]
 }
 
 func newMetrics(m *telemetry.Metrics) *metrics {
 	// Each route has a histogram of whole answers and one of first bytes.
-	out := &metrics{counters: new(expvar.Map), histograms: newLRU[*hdrhistogram.Histogram](2 * maxRouteMetrics), prompts: newPromptMetrics()}
+	out := &metrics{counters: new(expvar.Map), histograms: newLRU[*hdrhistogram.Histogram](2 * maxRouteMetrics), prompts: newPromptMetrics(), forecasts: newForecastMetrics()}
 	if m != nil {
 		out.counters = m.Slice("gateway")
 		m.Publish("gateway-latency-ms", func() any { return out.latencies() })
 		m.Publish("gateway-prompts", func() any { return out.prompts.counters() })
+		m.Publish("gateway-forecasts", func() any { return out.forecasts.accuracy() })
 	}
 	return out
 }
@@ -62,6 +64,11 @@
 		h = hdrhistogram.New(1, histogramMax, histogramDigits)
 		m.histograms.Add(name, h)
 	}
+	recordMilliseconds(h, d)
+}
+
+// recordMilliseconds records a time in a histogram of 1 to histogramMax ms.
+func recordMilliseconds(h *hdrhistogram.Histogram, d time.Duration) {
 	// The value is clamped to the range of the histogram, so recording cannot fail.
 	_ = h.RecordValue(min(max(d.Milliseconds(), 1), histogramMax))
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -27,6 +27,7 @@
 				for _, route := range []string{fmt.Sprintf("review-%d-%d", worker, i), "chat"} {
 					m.observe(route, time.Second)
 					m.prompts.record(route, 5_000, "answered", time.Second)
+					m.forecasts.record(route, 5_000, time.Second, time.Second)
 				}
 			}
 		})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -68,6 +68,9 @@
 	cut       bool
 	outcome   string
 	firstByte time.Duration
+	// predictedFirst and measuredFirst are the times from the placement to the first event of the last attempt that had one; zero
+	// for plain services.
+	predictedFirst, measuredFirst time.Duration
 	// longestGap is the longest pause between two events sent to the caller; lastEvent is when the last one was sent.
 	longestGap time.Duration
 	lastEvent  time.Time
@@ -289,5 +292,6 @@
 	q.gateway.log.Info("request ended", "request", q.req.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
 		"workspace", q.current.Workspace, "table", q.current.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
 		"gap-ms", q.longestGap.Milliseconds(), "took-ms", elapsed.Milliseconds(), "prompt", q.profile.Prompt,
-		"held-ms", q.heldTime.Milliseconds(), "fingerprint", q.fingerprint.Short())
+		"held-ms", q.heldTime.Milliseconds(), "predicted-first-ms", q.predictedFirst.Milliseconds(), "measured-first-ms", q.measuredFirst.Milliseconds(),
+		"fingerprint", q.fingerprint.Short())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,8 +203,9 @@
 				return errCallerDisconnected
 			}
 			if sent {
-				q.recordAnswer(a, false)
 				now := q.gateway.clock.Now()
+				q.recordFirstEvent(a, now)
+				q.recordAnswer(a, false)
 				if !q.lastEvent.IsZero() {
 					q.longestGap = max(q.longestGap, now.Sub(q.lastEvent))
 				}
