--- a/internal/route/priority.go
+++ b/internal/route/priority.go
@@ -17,7 +17,9 @@
 func newRank(workspace, route int) Rank { return Rank(workspace<<8 | route) }
 
 // String returns the priority of the workspace and that of the route, such as 1/0.
-func (r Rank) String() string { return strconv.Itoa(int(r>>8)) + "/" + strconv.Itoa(int(r&MaxPriority)) }
+func (r Rank) String() string {
+	return strconv.Itoa(int(r>>8)) + "/" + strconv.Itoa(int(r&MaxPriority))
+}
 
 // MarshalText implements encoding.TextMarshaler, for logs and status.
 func (r Rank) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
--- a/internal/tablecheck/access.go
+++ b/internal/tablecheck/access.go
@@ -47,8 +47,8 @@
 			return
 		}
 		// A token is at least one byte of text.
-		if float64(limit) < s.Engine.UsualPrompt {
-			c.add(Doubtful{at, fmt.Sprintf("%d bytes", limit), fmt.Sprintf("at least %.0f bytes, one for each token of the usual prompt of service %q", s.Engine.UsualPrompt, s.Name)})
+		if limit < s.Engine.UsualPrompt {
+			c.add(Doubtful{at, fmt.Sprintf("%d bytes", limit), fmt.Sprintf("at least %d bytes, one for each token of the usual prompt of service %q", s.Engine.UsualPrompt, s.Name)})
 			return
 		}
 	}
--- a/internal/tablecheck/check.go
+++ b/internal/tablecheck/check.go
@@ -94,12 +94,12 @@
 	if e.KVCacheTokens == 0 {
 		return
 	}
-	capacity := float64(e.KVCacheTokens)
+	capacity := e.KVCacheTokens
 	switch {
 	case e.UsualPrompt > capacity:
-		c.add(Contradiction{at(FieldKVCache), fmt.Sprintf("memory for %d tokens", e.KVCacheTokens), fmt.Sprintf("at least %.0f tokens, the usual prompt", e.UsualPrompt)})
+		c.add(Contradiction{at(FieldKVCache), fmt.Sprintf("memory for %d tokens", e.KVCacheTokens), fmt.Sprintf("at least %d tokens, the usual prompt", e.UsualPrompt)})
 	case e.UsualPrompt+e.UsualAnswer > capacity:
-		c.add(Doubtful{at(FieldKVCache), fmt.Sprintf("memory for %d tokens", e.KVCacheTokens), fmt.Sprintf("at least %.0f tokens, the usual prompt with its answer", e.UsualPrompt+e.UsualAnswer)})
+		c.add(Doubtful{at(FieldKVCache), fmt.Sprintf("memory for %d tokens", e.KVCacheTokens), fmt.Sprintf("at least %d tokens, the usual prompt with its answer", e.UsualPrompt+e.UsualAnswer)})
 	}
 }
 
--- a/internal/tablecheck/check_test.go
+++ b/internal/tablecheck/check_test.go
@@ -24,7 +24,7 @@
 		Name: "book", Host: "book.example", Prefix: "/", Kind: route.Unsafe, Timeout: 2 * time.Second, MaxAttempts: 1, Public: true,
 		Shares: []route.Share{{Service: "desk", Weight: 1}},
 	}
-	llm := tablecheck.Service{Engine: &tablecheck.Engine{UsualPrompt: 11121, UsualAnswer: 1622, Chunk: 2048}}
+	llm := tablecheck.Service{Engine: &tablecheck.Engine{Engine: route.Engine{UsualPrompt: 11121, UsualAnswer: 1622, PrefillChunk: 2048}}}
 	llm.Name = "llm"
 	llm.Engine.Engine = route.Engine{Slots: 12, KVCacheTokens: 344250, PrefillRate: 154000}
 	desk := tablecheck.Service{}
--- a/internal/tablecheck/table.go
+++ b/internal/tablecheck/table.go
@@ -6,7 +6,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"time"
 
 	"berylward.example/berylward/internal/route"
 )
@@ -47,13 +46,7 @@
 // Engine describes the model engines of a service.
 type Engine struct {
 	route.Engine
-	// Chunk is the largest number of prompt tokens that are prefilled in a token step.
-	Chunk int64
-	// Hop is added to each token step of an answer whose prompt several engines have prefilled.
-	Hop time.Duration
-	// UsualPrompt and UsualAnswer are the mean tokens of a prompt and an answer; zero if the table does not give them.
-	UsualPrompt, UsualAnswer float64
-	Other                    map[Field]string
+	Other map[Field]string
 }
 
 // Limits bound what a caller may send. Zero means no limit.
