--- a/internal/tablecheck/check_test.go
+++ b/internal/tablecheck/check_test.go
@@ -24,9 +24,11 @@
 		Name: "book", Host: "book.example", Prefix: "/", Kind: route.Unsafe, Timeout: 2 * time.Second, MaxAttempts: 1, Public: true,
 		Shares: []route.Share{{Service: "desk", Weight: 1}},
 	}
-	llm := tablecheck.Service{Engine: &tablecheck.Engine{Engine: route.Engine{UsualPrompt: 11121, UsualAnswer: 1622, PrefillChunk: 2048}}}
+	llm := tablecheck.Service{Engine: &tablecheck.Engine{}}
 	llm.Name = "llm"
-	llm.Engine.Engine = route.Engine{Slots: 12, KVCacheTokens: 344250, PrefillRate: 154000}
+	llm.Engine.Engine = route.Engine{
+		Slots: 12, KVCacheTokens: 344250, PrefillRate: 154000, UsualPrompt: 11121, UsualAnswer: 1622, PrefillChunk: 2048,
+	}
 	desk := tablecheck.Service{}
 	desk.Name = "desk"
 	one := 1
