dispatch: short prompts of ranked services are placed by the forecast

Cause: when no engine has room for a short prompt, the planner counted 150 ms for each place beyond the slots and 60 ms for an iteration, whatever the engine. Change: for services with ranked requests, the engine that begins first by internal/forecast is chosen, and the predicted first event is that of the forecast. Others keep the fixed figures.

--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"berylward.example/berylward/internal/forecast"
 )
 
 const (
@@ -29,11 +31,20 @@
 func (p *Planner) placeShort(now time.Time, profile RequestProfile, candidates []candidate) Placement {
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	best := p.packedEngine(profile, candidates)
-	if best < 0 {
+	var expected time.Duration
+	switch {
+	case best < 0 && profile.Ranks.Ranked():
+		best, expected = p.soonestEngine(profile, candidates)
+	case best < 0:
 		best = p.earliestEngine(profile, candidates)
 	}
 	c := &candidates[best]
-	expected := c.total.PendingPrefill + c.slotWait(profile) + profile.PrefillTime() + iterationTime
+	switch {
+	case !profile.Ranks.Ranked():
+		expected = c.total.PendingPrefill + c.slotWait(profile) + profile.PrefillTime() + iterationTime
+	case expected == 0:
+		expected = c.predict(forecast.NewEngine(profile.Engine), profile).First
+	}
 	if over := now.Add(expected).Sub(profile.Deadline); over > 0 && !profile.Deadline.IsZero() {
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(over, minOverloadedRetry)}
 	}
