backend, engine: a status that no answer can have counts as lost

Cause: net/http reads every status of three digits and panics on writing one below 100. A server's 000 or 099 closed the caller's connection without an answer and the request was not sent again, on the entry it was answered with 500; 600 and above were passed on. With Not-Executed they became a promise that nothing had run.

Change: answer.IsFinalStatus, checked by backend.Pool and engine.Client for requests, streams, resumed streams, orders and probes, and by the entry for heads of sidecars of earlier versions.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -24,8 +24,8 @@
 	KindConnectionLost ErrorKind = "broken"
 	// KindTimeout means that no response arrived in time.
 	KindTimeout ErrorKind = "silent"
-	// KindMalformed means that the backend server sent the response to another request, or a stream with an invalid
-	// event.
+	// KindMalformed means that the backend server sent the response to another request, a response with a status that no
+	// answer can have, or a stream with an invalid event.
 	KindMalformed ErrorKind = "malformed"
 	// KindCanceled means that the context was canceled after the connection was opened.
 	KindCanceled ErrorKind = "canceled"
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -15,6 +15,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/utils/clock"
+
+	"berylward.example/berylward/pkg/answer"
 )
 
 const (
@@ -328,10 +330,13 @@
 			return err
 		}
 		c.head.end()
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			interim++
 			continue
 		}
+		if !answer.IsFinalStatus(resp.StatusCode) {
+			return errors.Wrapf(errInvalidStatus, "status %03d", resp.StatusCode)
+		}
 		responses++
 		if options.Matches == nil || options.Matches(resp, c.reused) {
 			x.Response = resp
@@ -347,8 +352,12 @@
 	return errMismatchedResponse
 }
 
-// errMismatchedResponse means that the response belongs to another request. classify reports it as KindMalformed.
-var errMismatchedResponse = errors.New("response to another request")
+// classify reports these as KindMalformed. errMismatchedResponse means that the response belongs to another request,
+// errInvalidStatus that no answer can have its status.
+var (
+	errMismatchedResponse = errors.New("response to another request")
+	errInvalidStatus      = errors.New("not the status of an answer")
+)
 
 func write(c *conn, r *http.Request) error {
 	w := bufio.NewWriterSize(c, 4096)
@@ -365,7 +374,7 @@
 	switch {
 	case ctx.Err() != nil:
 		e.Kind = KindCanceled
-	case errors.Is(err, errMismatchedResponse), x.conn.head.exceeded():
+	case errors.Is(err, errMismatchedResponse), errors.Is(err, errInvalidStatus), x.conn.head.exceeded():
 		e.Kind = KindMalformed
 	case x.bodySent == nil && !x.conn.sentBytes:
 		e.Kind = KindUnsent
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -149,6 +149,8 @@
 		"invalid HTTP":                {script{respond("bytes\r\n\r\n")}, "b", [2]backend.ErrorKind{backend.KindConnectionLost, backend.KindConnectionLost}, 2},
 		"interim response":            {script{respond("HTTP/1.1 100 Continue\r\n\r\n" + okResponse), respond(okResponse)}, "b", [2]backend.ErrorKind{}, 1},
 		"several interim responses":   {script{respond(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 5) + okResponse), respond(okResponse)}, "b", [2]backend.ErrorKind{}, 1},
+		"status below 100":            {script{respond("HTTP/1.1 099 X\r\nId: own\r\nContent-Length: 0\r\n\r\n")}, "b", [2]backend.ErrorKind{backend.KindMalformed, backend.KindMalformed}, 2},
+		"status above 599":            {script{respond("HTTP/1.1 600 X\r\nId: own\r\nContent-Length: 0\r\n\r\n")}, "b", [2]backend.ErrorKind{backend.KindMalformed, backend.KindMalformed}, 2},
 		"interim responses that drip": {script{dripInterim}, "b", [2]backend.ErrorKind{backend.KindTimeout, backend.KindTimeout}, 2},
 		"long body":                   {script{respond(okResponse), respond(okResponse)}, strings.Repeat("b", 100<<10), [2]backend.ErrorKind{}, 1},
 		"response before the body is read": {script{func(conn net.Conn, _ *http.Request) bool {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,6 +22,7 @@
 	"k8s.io/utils/clock"
 
 	"berylward.example/berylward/internal/body"
+	"berylward.example/berylward/pkg/answer"
 )
 
 const (
@@ -150,6 +151,10 @@
 	if err != nil {
 		return nil, transportError(op, connected.Load(), err)
 	}
+	if !answer.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, &Error{Op: op, Kind: KindMalformed, Status: resp.StatusCode, Err: errors.Errorf("status %03d is not that of an answer", resp.StatusCode)}
+	}
 	return resp, nil
 }
 
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -76,35 +76,55 @@
 		return c.Call(ctx, http.MethodPost, "bookings", http.Header{"Idempotency-Key": {"k"}}, []byte("x"),
 			func(engine.ResponsePart) error { return nil })
 	}
+	attach := func(ctx context.Context, c *engine.Client) error {
+		_, err := c.AttachStream(ctx, "a", 0, func(engine.Piece) error { return nil })
+		return err
+	}
 	cases := map[string]struct {
 		response string
 		invoke   func(context.Context, *engine.Client) error
 		kind     engine.ErrorKind
 		notRun   bool
 	}{
-		"memory full":             {statusResponse(507), run, engine.KindRejected, true},
-		"unavailable":             {statusResponse(503), run, engine.KindRejected, true},
-		"bad request":             {statusResponse(400), run, engine.KindRejected, true},
-		"conflict":                {statusResponse(409), run, engine.KindMayHaveRun, false},
-		"internal error":          {statusResponse(500), run, engine.KindMayHaveRun, false},
-		"lower fencing number":    {statusResponse(412), order, engine.KindFenced, true},
-		"no response":             {"", run, engine.KindMayHaveRun, false},
-		"no response to call":     {"", call, engine.KindMayHaveRun, false},
-		"truncated stream":        {truncatedStream, run, engine.KindMayHaveRun, false},
-		"truncated call":          {truncatedStream, call, engine.KindMayHaveRun, false},
-		"truncated load":          {truncatedStream, load, engine.KindMayHaveRun, false},
-		"call without length":     {"HTTP/1.0 200 OK\r\n\r\nab", call, engine.KindMalformed, false},
-		"stream without end":      {okResponse(`{"offset":0,"text":"abcd","tokens":1}`), run, engine.KindMayHaveRun, false},
-		"error line":              {okResponse(`{"error":"cancelled"}`), run, engine.KindMayHaveRun, false},
-		"gap":                     {okResponse(`{"offset":4,"text":"abcd","tokens":1}`), run, engine.KindMalformed, false},
-		"last line without usage": {okResponse(`{"done":true}`), run, engine.KindMalformed, false},
-		"invalid JSON":            {okResponse(`<html>`), run, engine.KindMalformed, false},
-		"load in invalid JSON":    {okResponse(`<html>`), load, engine.KindMalformed, false},
-		"line too long":           {okResponse(strings.Repeat("x", 256<<10+1)), run, engine.KindMalformed, false},
-		"complete stream":         {okResponse(`{"done":true,"usage":{}}`), run, "", false},
-		"redirect":                {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", call, "", false},
-		"redirected stream":       {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", run, engine.KindMayHaveRun, false},
-		"error status of a call":  {statusResponse(418), call, "", false},
+		"memory full":                {statusResponse(507), run, engine.KindRejected, true},
+		"unavailable":                {statusResponse(503), run, engine.KindRejected, true},
+		"bad request":                {statusResponse(400), run, engine.KindRejected, true},
+		"conflict":                   {statusResponse(409), run, engine.KindMayHaveRun, false},
+		"internal error":             {statusResponse(500), run, engine.KindMayHaveRun, false},
+		"lower fencing number":       {statusResponse(412), order, engine.KindFenced, true},
+		"no response":                {"", run, engine.KindMayHaveRun, false},
+		"no response to call":        {"", call, engine.KindMayHaveRun, false},
+		"truncated stream":           {truncatedStream, run, engine.KindMayHaveRun, false},
+		"truncated call":             {truncatedStream, call, engine.KindMayHaveRun, false},
+		"truncated load":             {truncatedStream, load, engine.KindMayHaveRun, false},
+		"call without length":        {"HTTP/1.0 200 OK\r\n\r\nab", call, engine.KindMalformed, false},
+		"stream without end":         {okResponse(`{"offset":0,"text":"abcd","tokens":1}`), run, engine.KindMayHaveRun, false},
+		"error line":                 {okResponse(`{"error":"cancelled"}`), run, engine.KindMayHaveRun, false},
+		"gap":                        {okResponse(`{"offset":4,"text":"abcd","tokens":1}`), run, engine.KindMalformed, false},
+		"last line without usage":    {okResponse(`{"done":true}`), run, engine.KindMalformed, false},
+		"invalid JSON":               {okResponse(`<html>`), run, engine.KindMalformed, false},
+		"load in invalid JSON":       {okResponse(`<html>`), load, engine.KindMalformed, false},
+		"line too long":              {okResponse(strings.Repeat("x", 256<<10+1)), run, engine.KindMalformed, false},
+		"complete stream":            {okResponse(`{"done":true,"usage":{}}`), run, "", false},
+		"redirect":                   {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", call, "", false},
+		"redirected stream":          {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", run, engine.KindMayHaveRun, false},
+		"status 000, call":           {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 099, call":           {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 600, call":           {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 000, stream":         {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 099, stream":         {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 600, stream":         {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 000, resumed stream": {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 099, resumed stream": {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 600, resumed stream": {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 000, order":          {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 099, order":          {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 600, order":          {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 000, probe":          {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 099, probe":          {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 600, probe":          {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 101, call":           {"HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"error status of a call":     {statusResponse(418), call, "", false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -158,6 +158,12 @@
 	case *link.Refused:
 		return attemptFailed{reason: m.Reason, retryAfter: m.RetryAfter, fullness: m.Fullness, refused: true}
 	case *link.Head:
+		if !answer.IsFinalStatus(m.Status) {
+			// Sidecars of earlier versions pass such a status on, and net/http panics on writing one below 100.
+			a.peer.entry.metrics.Add("answers-with-invalid-status", 1)
+			a.peer.send(&link.Cancel{ID: link.WireID(a.id)})
+			return attemptFailed{reason: answer.ReasonBrokenAnswer, ran: true}
+		}
 		if err := out.setHead(m.Status, m.Header); err != nil {
 			return a.cancel(answer.ReasonCancelled)
 		}
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -18,6 +18,27 @@
 func (discardSink) setHead(int, map[string][]string) error { return nil }
 func (discardSink) deliver([]byte) error                   { return nil }
 
+// Guards against a panic of the entry, or an answer passed on, when a sidecar of an earlier version passes on a status that does not
+// exist.
+func TestHandleHead(t *testing.T) {
+	for name, tt := range map[string]struct {
+		status int
+		want   attemptResult
+	}{
+		"0":   {0, attemptFailed{reason: answer.ReasonBrokenAnswer, ran: true}},
+		"99":  {99, attemptFailed{reason: answer.ReasonBrokenAnswer, ran: true}},
+		"101": {101, attemptFailed{reason: answer.ReasonBrokenAnswer, ran: true}},
+		"200": {200, nil},
+		"599": {599, nil},
+		"600": {600, attemptFailed{reason: answer.ReasonBrokenAnswer, ran: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newAttempt(&peer{entry: &Entry{metrics: new(expvar.Map).Init(), waiting: body.NewBudget(0)}}, answer.ID{Sequence: 1, Attempt: 1})
+			assert.Equal(t, a.handleMessage(&link.Head{Status: tt.status}, discardSink{}), tt.want)
+		})
+	}
+}
+
 // Guards against a damaged answer that a later attempt completes, so that the caller takes it for a complete one.
 func TestHandleEnd(t *testing.T) {
 	const text = "confirmed"
--- a/internal/scenario/harness_test.go
+++ b/internal/scenario/harness_test.go
@@ -26,6 +26,7 @@
 	officeAPIKey  = "cuenca-schedules-key"
 	counterAPIKey = "cuenca-counter-centro-key"
 	bookingsPath  = "/v1/services/booking-desk/bookings"
+	slotsPath     = "/v1/services/booking-desk/slots"
 	// defaultSettleTime is longer than the clean-up after a stream takes: a sidecar keeps a stream whose link was lost
 	// for 10 s, and a lost cancel is repeated every 2 s.
 	defaultSettleTime = 40 * time.Second
--- a/internal/scenario/request_test.go
+++ b/internal/scenario/request_test.go
@@ -40,6 +40,8 @@
 	timeout time.Duration
 	// booking is the body of a booking, and key is its idempotency key, if any.
 	booking, key string
+	// slots asks for free slots, which may run any number of times.
+	slots bool
 	// readDelay is how long the caller waits between two reads.
 	readDelay time.Duration
 }
@@ -60,7 +62,11 @@
 
 func (h *harness) send(ctx context.Context, r request) result {
 	body, url, key := r.booking, bookingsPath, counterAPIKey
-	if r.booking == "" {
+	method := http.MethodPost
+	switch {
+	case r.slots:
+		method, url = http.MethodGet, slotsPath
+	case r.booking == "":
 		url, key = "/v1/completions", officeAPIKey
 		text, err := json.Marshal(map[string]any{"model": "office-8b", "prompt": r.prompt, "max_tokens": r.tokens, "stream": r.stream})
 		if err != nil {
@@ -69,7 +75,7 @@
 		body = string(text)
 	}
 	address := h.addresses[r.entry%len(h.addresses)]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+url, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+url, strings.NewReader(body))
 	if err != nil {
 		return result{err: err}
 	}
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -62,6 +62,13 @@
 	b.fault = fault
 }
 
+// Fault returns the fault for later requests.
+func (b *Backend) Fault() ServerFault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fault
+}
+
 // Runs returns the requests that have run.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -150,6 +157,8 @@
 		head.Leaving = true
 	case Endless:
 		head.NotRun = fault.Refusal
+	case StatusText:
+		head.NotRun = fault.Refusal
 	case Unsigned:
 		head.Signed = false
 	case WrongID:
@@ -232,7 +241,7 @@
 // answer writes the response body and reports whether it was written completely.
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	switch fault := fault.(type) {
-	case CutsHead, Unframed:
+	case CutsHead, Unframed, StatusText:
 		return b.answerRaw(w, r, request, fault)
 	case Endless:
 		return writeEndless(w, fault)
@@ -313,7 +322,8 @@
 	return true
 }
 
-// answerRaw takes over the connection and writes a response whose head is cut, or whose body ends with the connection.
+// answerRaw takes over the connection and writes a response whose head is cut, whose body ends with the connection, or whose status
+// net/http would not write.
 func (b *Backend) answerRaw(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	if !b.waitStep(r) {
 		return false
@@ -324,6 +334,9 @@
 	}
 	defer func() { _ = conn.Close() }()
 	lines := []string{"HTTP/1.1 200 OK"}
+	if status, ok := fault.(StatusText); ok {
+		lines[0] = "HTTP/1.1 " + status.Text
+	}
 	for name, values := range w.Header() {
 		lines = append(lines, name+": "+values[0])
 	}
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -68,6 +68,13 @@
 // in the middle of its last event.
 type Unframed struct{ Cut bool }
 
+// StatusText means that requests run and are answered completely, with this text in place of the status. With Refusal set, the
+// response also states that the request did not run.
+type StatusText struct {
+	Text    string
+	Refusal bool
+}
+
 // Endless means that requests run and that the body of a response goes on until the connection is closed. It completes no event.
 type Endless struct {
 	// Status is the status of the response. A refusal states that the request did not run.
@@ -98,6 +105,7 @@
 func (CutsHead) serverFault()       {}
 func (Unframed) serverFault()       {}
 func (Endless) serverFault()        {}
+func (StatusText) serverFault()     {}
 func (EndsOnPart) serverFault()     {}
 func (EndsOnPath) serverFault()     {}
 func (Unsigned) serverFault()       {}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -67,6 +67,9 @@
 
 // Faults of the platform.
 type (
+	// AnswerStatus makes a service write complete answers with this text in place of the status. An empty Text turns the fault
+	// off.
+	AnswerStatus struct{ Text string }
 	// Unreachable closes all connections and refuses new ones for the given time, or until the fault is turned off when
 	// zero. It cannot be turned off early over HTTP, because the control path is refused too. Turning it off also ends
 	// a Freeze.
@@ -91,6 +94,7 @@
 func (CrashAfterRun) fault()  {}
 func (LoseAnswer) fault()     {}
 func (EndlessAnswers) fault() {}
+func (AnswerStatus) fault()   {}
 func (Unreachable) fault()    {}
 func (Stale) fault()          {}
 
@@ -139,6 +143,8 @@
 		return LoseAnswer{Count: r.Count}, nil
 	case "endless-answers":
 		return EndlessAnswers{On: r.On}, nil
+	case "answer-status":
+		return AnswerStatus{Text: r.Marker}, nil
 	case "unreachable":
 		return Unreachable{On: r.On, Duration: d}, nil
 	case "stale":
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -30,6 +30,8 @@
 	lostAnswers   int
 	// endless means that the bodies of answers never end.
 	endless bool
+	// status is the text in place of the status of answers, empty for the usual status.
+	status string
 }
 
 // NewService returns a service that does not listen on an address, for use as an http.Handler. Call Stop to stop it.
@@ -83,7 +85,7 @@
 	case SilenceConns:
 		s.server.silenceConns()
 	case ClearFaults:
-		s.delay, s.crashAfterRun, s.lostAnswers, s.endless = 0, CrashAfterRun{}, 0, false
+		s.delay, s.crashAfterRun, s.lostAnswers, s.endless, s.status = 0, CrashAfterRun{}, 0, false, ""
 		s.server.restore()
 	case Delay:
 		s.delay = f.Duration
@@ -93,6 +95,8 @@
 		s.lostAnswers = f.Count
 	case EndlessAnswers:
 		s.endless = f.On
+	case AnswerStatus:
+		s.status = f.Text
 	case TurnCold, CrashOnMarker, IgnoreCancels, IgnoreFences, Slow, Unreachable, Stale:
 		return unsupportedFault(fault)
 	}
@@ -141,11 +145,15 @@
 		s.lostAnswers--
 		answered = false
 	}
-	endless := s.endless
+	endless, status := s.endless, s.status
 	s.mu.Unlock()
 	if !answered {
 		panic(http.ErrAbortHandler)
 	}
+	if status != "" {
+		writeStatus(w, status)
+		return
+	}
 	if endless {
 		writeEndlessly(w)
 		return
@@ -161,8 +169,12 @@
 func (s *Service) handleSlots(w http.ResponseWriter, r *http.Request) {
 	s.delayCall(r)
 	s.mu.Lock()
-	endless := s.endless
+	endless, status := s.endless, s.status
 	s.mu.Unlock()
+	if status != "" {
+		writeStatus(w, status)
+		return
+	}
 	if endless {
 		writeEndlessly(w)
 		return
@@ -172,6 +184,16 @@
 	}{[]string{"18:00", "19:00", "20:00", "21:00"}})
 }
 
+// writeStatus writes a complete answer with a text in place of the status, which net/http would not write.
+func writeStatus(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}", text)
+}
+
 // endlessPart is the size in bytes of each write of a body without end.
 const endlessPart = 32 << 10
 
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -98,6 +98,10 @@
 	return "unknown"
 }
 
+// IsFinalStatus reports whether an HTTP status can be that of a complete answer: 200 to 599. Lower ones are interim or invalid, and
+// higher ones invalid (RFC 9110, section 15). net/http reads all statuses of three digits, but cannot write those below 100.
+func IsFinalStatus(status int) bool { return status >= 200 && status < 600 }
+
 // Usage is the token usage that the engine reported for a request.
 type Usage struct {
 	PromptTokens    int64
