backend: an unframed answer needs a whole upload to be complete

Cause: a socket reports a reset once. If the goroutine that writes a long request gets it, the read of the response sees a regular end, which ends a body without a length.

Change: at the end of such a body the read waits for the write, and a failed write makes the response a lost one.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -262,7 +262,8 @@
 	pool      *Pool
 	idleLimit int
 	stopAbort func() bool
-	bodySent  chan error
+	// upload is nil if the request was written before the response was read.
+	upload *upload
 }
 
 // Exchange sends a request once and returns when the head of its response has arrived. Canceling ctx aborts the
@@ -313,8 +314,7 @@
 		return err
 	}
 	if r.ContentLength > maxInlineBody {
-		x.bodySent = make(chan error, 1)
-		go func() { x.bodySent <- write(c, r) }()
+		x.upload = startUpload(c, r)
 	} else if err := write(c, r); err != nil {
 		return err
 	}
@@ -340,6 +340,9 @@
 		responses++
 		if options.Matches == nil || options.Matches(resp, c.reused) {
 			x.Response = resp
+			if x.upload != nil && endsWithConnection(resp) {
+				resp.Body = &unframedBody{ReadCloser: resp.Body, upload: x.upload}
+			}
 			return nil
 		}
 		if !c.reused || resp.ContentLength < 0 || resp.ContentLength > maxDiscard {
@@ -376,7 +379,7 @@
 		e.Kind = KindCanceled
 	case errors.Is(err, errMismatchedResponse), errors.Is(err, errInvalidStatus), x.conn.head.exceeded():
 		e.Kind = KindMalformed
-	case x.bodySent == nil && !x.conn.sentBytes:
+	case x.upload == nil && !x.conn.sentBytes:
 		e.Kind = KindUnsent
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		e.Kind = KindTimeout
@@ -413,7 +416,7 @@
 // the backend server also keeps it. keepAlive is how long the connection may stay idle; zero means the default.
 func (x *Exchange) Done(complete bool, keepAlive time.Duration) {
 	canceled := !x.stopAbort()
-	if complete && !canceled && !x.Response.Close && x.bodyWritten() {
+	if complete && !canceled && !x.Response.Close && x.upload.written() {
 		x.pool.put(x.conn, keepAlive, x.idleLimit)
 		return
 	}
@@ -429,17 +432,3 @@
 	x.stopAbort()
 	_ = x.conn.Close()
 }
-
-// bodyWritten reports whether the whole request was sent. If the response arrived before that, the connection cannot be
-// reused, because the rest of the body would be read as the next request.
-func (x *Exchange) bodyWritten() bool {
-	if x.bodySent == nil {
-		return true
-	}
-	select {
-	case err := <-x.bodySent:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"berylward.example/berylward/internal/engine"
+	"berylward.example/berylward/internal/standin"
 )
 
 // withServer starts a server that reads one request per connection and writes response verbatim. It returns the
@@ -276,3 +277,21 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that looks complete, because the service answered a long call before it had read it, and reset
+// the connection. A socket reports a reset once, and the write of the call may get that.
+func TestResetDuringUpload(t *testing.T) {
+	for framing, response := range standin.EarlyResponses {
+		for when, accepted := range map[string]int{"at once": 0, "within the upload": 64 << 10, "after the upload": -1} {
+			t.Run(framing+", "+when, func(t *testing.T) {
+				client := engine.New(netip.MustParseAddrPort("127.0.0.1:9"), engine.WithDialer(func(context.Context, string, string) (net.Conn, error) {
+					return standin.NewResetConn(response, accepted, 0), nil
+				}))
+				defer client.Close()
+				err := client.Call(t.Context(), http.MethodPost, "bookings", nil, make([]byte, 1<<20), func(engine.ResponsePart) error { return nil })
+				var failure *engine.Error
+				assert.Assert(t, errors.As(err, &failure) && !failure.NotRun(), "%v", err)
+			})
+		}
+	}
+}
--- a/internal/scenario/statuses_test.go
+++ b/internal/scenario/broken_answers_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,22 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that a caller takes for a complete one, because the service answered a long call before it had
+// read it, and closed the connection.
+func TestAnswersBeforeUploads(t *testing.T) {
+	for framing, response := range standin.EarlyResponses {
+		t.Run(framing, func(t *testing.T) {
+			withHarness(t, []demo.Option{demo.WithEngines(1, 1)}, func(t *testing.T, h *harness) {
+				for _, s := range h.Services {
+					assert.NilError(t, s.Inject(standin.AnswerEarly{Response: response}))
+				}
+				for i, key := range []string{"", newKey()} {
+					r := request{entry: i, booking: strings.Repeat("b", 200<<10), key: key, timeout: 5 * time.Second}
+					res := h.send(t.Context(), r)
+					assert.Check(t, res.status == 502 && res.outcome == "unknown", "%s", res)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -156,7 +156,7 @@
 		e.faults.ignoreFences = f.On
 	case Slow:
 		e.faults.slowFactor = f.Factor
-	case Delay, CrashAfterRun, LoseAnswer, EndlessAnswers, AnswerStatus, Unreachable, Stale:
+	case Delay, CrashAfterRun, LoseAnswer, EndlessAnswers, AnswerStatus, AnswerEarly, Unreachable, Stale:
 		return unsupportedFault(fault)
 	}
 	return nil
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -70,6 +70,9 @@
 	// AnswerStatus makes a service write complete answers with this text in place of the status. An empty Text turns the fault
 	// off.
 	AnswerStatus struct{ Text string }
+	// AnswerEarly makes a service write Response before it reads the body of a call, and close the connection. An empty Response
+	// turns the fault off.
+	AnswerEarly struct{ Response string }
 	// Unreachable closes all connections and refuses new ones for the given time, or until the fault is turned off when
 	// zero. It cannot be turned off early over HTTP, because the control path is refused too. Turning it off also ends
 	// a Freeze.
@@ -95,6 +98,7 @@
 func (LoseAnswer) fault()     {}
 func (EndlessAnswers) fault() {}
 func (AnswerStatus) fault()   {}
+func (AnswerEarly) fault()    {}
 func (Unreachable) fault()    {}
 func (Stale) fault()          {}
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -156,7 +156,7 @@
 		p.delay, p.stale = 0, nil
 		p.server.restore()
 		p.notify()
-	case TurnCold, CrashOnMarker, IgnoreCancels, IgnoreFences, Slow, CrashAfterRun, LoseAnswer, EndlessAnswers, AnswerStatus:
+	case TurnCold, CrashOnMarker, IgnoreCancels, IgnoreFences, Slow, CrashAfterRun, LoseAnswer, EndlessAnswers, AnswerStatus, AnswerEarly:
 		return unsupportedFault(fault)
 	}
 	return nil
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -32,6 +32,8 @@
 	endless bool
 	// status is the text in place of the status of answers, empty for the usual status.
 	status string
+	// early is the response that is written before the body of a call is read, empty for none.
+	early string
 }
 
 // NewService returns a service that does not listen on an address, for use as an http.Handler. Call Stop to stop it.
@@ -85,7 +87,7 @@
 	case SilenceConns:
 		s.server.silenceConns()
 	case ClearFaults:
-		s.delay, s.crashAfterRun, s.lostAnswers, s.endless, s.status = 0, CrashAfterRun{}, 0, false, ""
+		s.delay, s.crashAfterRun, s.lostAnswers, s.endless, s.status, s.early = 0, CrashAfterRun{}, 0, false, "", ""
 		s.server.restore()
 	case Delay:
 		s.delay = f.Duration
@@ -97,6 +99,8 @@
 		s.endless = f.On
 	case AnswerStatus:
 		s.status = f.Text
+	case AnswerEarly:
+		s.early = f.Response
 	case TurnCold, CrashOnMarker, IgnoreCancels, IgnoreFences, Slow, Unreachable, Stale:
 		return unsupportedFault(fault)
 	}
@@ -121,6 +125,13 @@
 
 // handleBooking runs every call, even when its key was seen before. The caller is responsible for not repeating a call.
 func (s *Service) handleBooking(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	early := s.early
+	s.mu.Unlock()
+	if early != "" {
+		writeRaw(w, early)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
@@ -186,12 +197,17 @@
 
 // writeStatus writes a complete answer with a text in place of the status, which net/http would not write.
 func writeStatus(w http.ResponseWriter, text string) {
+	writeRaw(w, "HTTP/1.1 "+text+"\r\nContent-Type: application/json\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
+}
+
+// writeRaw writes the text of a response and closes the connection.
+func writeRaw(w http.ResponseWriter, response string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}", text)
+	_, _ = io.WriteString(conn, response)
 }
 
 // endlessPart is the size in bytes of each write of a body without end.
