--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,18 +16,21 @@
 )
 
 const (
-	// leaseDuration is how long memory stays reserved without a renewal, so that the reservations of a terminated
-	// gateway expire.
+	// leaseDuration is how long memory stays reserved after the latest time at which the engine that runs the request is known to
+	// have been there. With orderTimeout, for an order that arrives late, it stays below the platform's bound of 4 s.
 	leaseDuration = 3500 * time.Millisecond
-	// leaseRenewInterval is the pause between renewals.
+	// leaseRenewInterval is the pause between renewals, and leaseRetryInterval the one after a failed renewal, so that three more are
+	// tried before the lease ends.
 	leaseRenewInterval = 1200 * time.Millisecond
-	// orderTimeout bounds an order to an engine. Engines answer orders in milliseconds.
+	leaseRetryInterval = 200 * time.Millisecond
+	// orderTimeout bounds an order to an engine, with the opening of its connection. Engines answer orders in milliseconds.
 	orderTimeout = 400 * time.Millisecond
 )
 
 // leases is the memory reserved at several engines for one prompt.
 type leases struct {
-	request     *request
+	request *request
+	// servers are the engines, first the one that runs the request.
 	servers     []*roster.Server
 	id          string
 	tokens      int64
@@ -88,20 +92,53 @@
 
 // renew renews the leases until ctx is canceled.
 func (l *leases) renew(ctx context.Context) {
+	pause := leaseRenewInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.request.gateway.clock.After(leaseRenewInterval):
+		case <-l.request.gateway.clock.After(pause):
 		}
-		for _, s := range l.servers {
-			if err := l.sendOrder(ctx, s, l.request.gateway.protocol.EncodeReserve(s, l.id, l.tokens, l.duration())); err != nil && ctx.Err() == nil {
-				l.request.gateway.log.Info("lease not renewed", "request", l.request.req.ID, "backend", s.ID, "error", err.Error())
-			}
+		pause = leaseRenewInterval
+		if !l.renewOnce(ctx) {
+			pause = leaseRetryInterval
 		}
 	}
 }
 
+// renewOnce renews the leases once and reports whether all renewals succeeded. Those of the helpers are renewed only after the engine
+// that runs the request has answered, and from the time at which it was asked. If it has gone, the request has ended, which the
+// gateway may notice seconds later; should the gateway end then, nobody would release what it had renewed meanwhile.
+func (l *leases) renewOnce(ctx context.Context) bool {
+	clock := l.request.gateway.clock
+	asked := clock.Now()
+	if !l.renewAt(ctx, l.servers[0], l.duration()) {
+		return false
+	}
+	hold := l.duration() - clock.Since(asked)
+	if hold <= 0 {
+		return false
+	}
+	var wg sync.WaitGroup
+	renewed := make([]bool, len(l.servers)-1)
+	for i, s := range l.servers[1:] {
+		wg.Go(func() { renewed[i] = l.renewAt(ctx, s, hold) })
+	}
+	wg.Wait()
+	return !slices.Contains(renewed, false)
+}
+
+// renewAt renews the lease at one engine and reports whether that succeeded.
+func (l *leases) renewAt(ctx context.Context, s *roster.Server, hold time.Duration) bool {
+	g := l.request.gateway
+	err := l.sendOrder(ctx, s, g.protocol.EncodeReserve(s, l.id, l.tokens, hold))
+	if err != nil && ctx.Err() == nil {
+		g.metrics.count("leases-not-renewed")
+		g.log.Info("lease not renewed", "request", l.request.req.ID, "backend", s.ID, "error", err.Error())
+	}
+	return err == nil
+}
+
 // release ends the leases. When a release order fails, the lease expires by itself.
 func (l *leases) release() {
 	if l.stopRenewal != nil {
@@ -122,6 +159,8 @@
 func (l *leases) sendOrder(ctx context.Context, s *roster.Server, r *http.Request) error {
 	g := l.request.gateway
 	g.metrics.count("orders")
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	x, err := g.pool.Exchange(ctx, backend.ExchangeOptions{
 		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, IdleLimit: l.request.idleLimit,
 		// Responses to orders carry no identifier; a repeated response to a request does.
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -104,6 +104,19 @@
 	return sum
 }
 
+// ReservedUntil returns the latest time at which a lease that was not released expires, or the zero time.
+func (b *Backend) ReservedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var latest time.Time
+	for _, l := range b.leases {
+		if l.expiresAt.After(latest) {
+			latest = l.expiresAt
+		}
+	}
+	return latest
+}
+
 // Event returns the text of one event in the response stream of a request.
 func Event(id string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
@@ -127,6 +140,10 @@
 		b.orders++
 	}
 	b.mu.Unlock()
+	if _, vanished := fault.(Vanished); vanished {
+		<-r.Context().Done()
+		return
+	}
 	head := gateway.ResponseHead{ID: request.ID, Signed: true}
 	if request.ExpectedServer != b.Server.ID {
 		platform.SetResponseHead(w.Header(), gateway.ResponseHead{ID: request.ID})
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -31,6 +31,9 @@
 // RefusesLeases means that orders to reserve memory are refused.
 type RefusesLeases struct{}
 
+// Vanished means that orders and requests reach the server and are not answered, as if its machine had gone.
+type Vanished struct{}
+
 // Errors means that requests run and are answered with status 500 and a body of Size bytes.
 type Errors struct{ Size int }
 
@@ -97,6 +100,7 @@
 func (Leaves) serverFault()         {}
 func (RepeatsRefusal) serverFault() {}
 func (RefusesLeases) serverFault()  {}
+func (Vanished) serverFault()       {}
 func (Errors) serverFault()         {}
 func (ClosesEarly) serverFault()    {}
 func (Pauses) serverFault()         {}
