gateway, entry: a panic ends its request like any failure

Cause: the gateway left panics in the goroutine of a request to net/http. The caller's connection was closed without an answer, the log did not name the request, and the load of an attempt that was under way stayed with the planner. The entry kept such attempts in its view, and ended a streamed answer that was cut by a panic as if it were complete.

Change: recoverPanic and logPanic log the id and the stack, count request-panics and end the attempt for the planner, the engines' memory and the sidecar. Callers get 502 or 500, or a closed connection if they have a part of the response. Requests release the gateway's lock in a panic.

--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -57,6 +57,11 @@
 	defer g.events.Close()
 	timer := g.entry.clock.NewTimer(0)
 	defer timer.Stop()
+	defer func() {
+		if !g.plan.Ended() { // after a panic
+			g.releaseMembers()
+		}
+	}()
 	g.execute(ctx, steps)
 	for !g.plan.Ended() {
 		timer.Reset(max(g.plan.NextWakeup().Sub(g.entry.clock.Now()), time.Millisecond))
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -58,20 +56,6 @@
 	return err
 }
 
-// recoverPanics is middleware that keeps a panic in one request from ending the process. The caller gets an unknown
-// outcome, because the request may have run.
-func (e *Entry) recoverPanics(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
-	return func(w http.ResponseWriter, r bunrouter.Request) (err error) {
-		defer func() {
-			if v := recover(); v != nil {
-				e.reportViolation("no-panics", fmt.Sprintf("%v\n%s", v, debug.Stack()))
-				failureOf(answer.Unknown{Reason: answer.ReasonInternal}).write(w)
-			}
-		}()
-		return next(w, r)
-	}
-}
-
 // traceRequest is middleware that starts the span of a request, as a child of the caller's span if the caller sent
 // one.
 func (e *Entry) traceRequest(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -161,16 +161,22 @@
 // runRequest runs a request to its outcome. It makes attempts until a worker has answered, the deadline has passed or
 // no further attempt is allowed.
 func (e *Entry) runRequest(ctx context.Context, r *request, out answerSink) (answer.Outcome, answer.Usage) {
+	defer e.logPanic(r)
 	e.metrics.Add("requests", 1)
-	e.mu.Lock()
-	e.retryBudget.Request(e.clock.Now())
-	e.mu.Unlock()
+	e.countRequest()
 	outcome, usage := e.runAttempts(ctx, r, out)
 	e.metrics.Add("outcome-"+answer.OutcomeName(outcome), 1)
 	e.settleTokens(r, outcome, usage)
 	return outcome, usage
 }
 
+// countRequest counts a request for the retry budget.
+func (e *Entry) countRequest() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryBudget.Request(e.clock.Now())
+}
+
 func (e *Entry) runAttempts(ctx context.Context, r *request, out answerSink) (answer.Outcome, answer.Usage) {
 	if refusal := e.admit(ctx, r); refusal != nil {
 		return refusal, answer.Usage{}
@@ -210,7 +216,14 @@
 	defer span.End()
 	a := newAttempt(p, id)
 	e.metrics.Add("attempts", 1)
+	ended := false
+	defer func() {
+		if !ended {
+			a.abandon()
+		}
+	}()
 	res := a.run(ctx, r.newOffer(ctx, id, e.clock.Now()), out)
+	ended = true
 	e.recordResult(id, res, a.usage)
 	switch res := res.(type) {
 	case requestEnded:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"berylward.example/berylward/internal/dispatch"
@@ -61,7 +62,9 @@
 			return
 		}
 		var reason string
+		q.attempt = a
 		result := send(a)
+		q.attempt = nil
 		q.endProbe(a)
 		switch s := result.(type) {
 		case completed:
@@ -111,6 +114,8 @@
 		return nil, 0
 	}
 	g.mu.Lock()
+	unlock := sync.OnceFunc(g.mu.Unlock)
+	defer unlock() // after a panic
 	ok := q.followTable() && q.maySendAgain() && q.followShares(q.current.Route)
 	requestQuarantine, quarantined := q.checkRequest(now).(suspect.RequestQuarantined)
 	parts := q.checkParts(now)
@@ -126,7 +131,7 @@
 		}
 	}
 	gateways, peerAge := g.group.Size(), g.planner.OldestReportAge(now)
-	g.mu.Unlock()
+	unlock()
 	switch {
 	case !ok:
 		q.giveUp("withdrawn", retryAfterElsewhere)
@@ -192,9 +197,7 @@
 	if q.holdID == 0 {
 		return
 	}
-	q.gateway.mu.Lock()
-	q.gateway.planner.EndHold(q.holdID)
-	q.gateway.mu.Unlock()
+	q.gateway.locked(func() { q.gateway.planner.EndHold(q.holdID) })
 	q.holdID = 0
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -67,6 +67,8 @@
 	// retryReserve is the RetryReserve setting of the gateway, descriptorLimit its DescriptorLimit.
 	retryReserve    float64
 	descriptorLimit int
+	// protocol translates for the gateway.
+	protocol gateway.Protocol
 	// dialError is returned for each connection to a backend server, if it is set.
 	dialError error
 	sequence  atomic.Int64
@@ -110,7 +112,7 @@
 // withPreparedHarness is withHarness with a function that changes the store before the gateway starts.
 func withPreparedHarness(t *testing.T, prepare, fn func(*harness), options ...gateway.Option) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &harness{test: t, startupWait: time.Second, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, retryReserve: 100, listeners: map[netip.AddrPort]*standin.MemoryListener{}}
+		h := &harness{test: t, startupWait: time.Second, store: direct.NewStore(clock.RealClock{}), boot: &bootClock{}, retryReserve: 100, protocol: platform.Protocol{}, listeners: map[netip.AddrPort]*standin.MemoryListener{}}
 		h.publish(map[string]string{callerKey: workspace}, testRoutes)
 		for i, service := range []string{"desk", "desk", "pool", "pool"} {
 			h.addBackend(service, i+1)
@@ -127,7 +129,7 @@
 			Instance: "front-1", Zone: "el-centro", CallerAddress: callerAddress, ReadinessAddress: readyAddress, ShutdownTimeout: 8 * time.Second,
 			MemoryLimit: memoryLimit, DescriptorLimit: h.descriptorLimit,
 			RevocationTimeout: 5 * time.Second, RetryShare: 0.2, RetryReserve: h.retryReserve, RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond,
-		}, platform.Protocol{}, store, append([]gateway.Option{
+		}, h.protocol, store, append([]gateway.Option{
 			gateway.WithBootClock(h.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(h.dial),
 		}, options...)...)
 		assert.NilError(t, err)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -12,14 +12,14 @@
 func (q *request) recordOutcome(a *attempt, o dispatch.Outcome) {
 	g := q.gateway
 	now := g.clock.Now()
-	g.mu.Lock()
-	g.planner.RecordEnd(now, a.placementID, o)
-	switch o.(type) {
-	case dispatch.Answered, dispatch.Errored, dispatch.Full:
-		g.unanswered.RecordAlive(now, serverKey(a.server))
-	default:
-	}
-	g.mu.Unlock()
+	g.locked(func() {
+		g.planner.RecordEnd(now, a.placementID, o)
+		switch o.(type) {
+		case dispatch.Answered, dispatch.Errored, dispatch.Full:
+			g.unanswered.RecordAlive(now, serverKey(a.server))
+		default:
+		}
+	})
 	if a.leases != nil {
 		a.leases.release()
 	}
@@ -78,9 +78,7 @@
 	}
 	if faulty := q.faultyHelper(a, r); faulty != nil {
 		now := q.gateway.clock.Now()
-		q.gateway.mu.Lock()
-		q.gateway.planner.RecordHelperFailure(now, faulty)
-		q.gateway.mu.Unlock()
+		q.gateway.locked(func() { q.gateway.planner.RecordHelperFailure(now, faulty) })
 		q.tried = append(q.tried, faulty.ID)
 		q.recordOutcome(a, dispatch.Abandoned{})
 	} else if r.Misdirected {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -122,9 +122,9 @@
 	q.gateway.protocol.CopyHeaders(q.response.Header(), resp)
 	q.announceClose()
 	q.response.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	q.delivered = true // before the write, which may send a part of the head and then panic
 	q.response.WriteHeader(head.Status)
 	q.firstByte = q.elapsed()
-	q.delivered = true
 	if _, err := q.response.Write(data); err != nil {
 		q.leave()
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -61,9 +61,7 @@
 	if !a.probe || a.givenUp {
 		return
 	}
-	q.gateway.mu.Lock()
-	q.gateway.requests.CancelProbe(q.fingerprint)
-	q.gateway.mu.Unlock()
+	q.gateway.locked(func() { q.gateway.requests.CancelProbe(q.fingerprint) })
 }
 
 // mergeRequestReport takes in the report of another gateway. It must be called with the gateway's lock held.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,7 @@
 	fingerprint       suspect.Fingerprint
 	tried             []string
 	runs              []run
+	attempt           *attempt // the current one, nil between attempts
 	sends             int
 	exchanged         bool // the request may have reached a backend server
 	// moved is set if the last attempt was given up during a shutdown because another backend server could complete the answer.
@@ -80,6 +81,7 @@
 	ctx, release := g.shutdown.requestContext(r.Context())
 	defer release()
 	q := &request{gateway: g, response: w, ctx: ctx, arrivedAt: g.clock.Now()}
+	defer q.recoverPanic()
 	q.limitWrites(q.arrivedAt.Add(defaultTimeout))
 	req, err := g.protocol.DecodeRequest(r)
 	q.req = req
@@ -127,10 +129,12 @@
 func (q *request) admit() bool {
 	g := q.gateway
 	q.awaitTable()
-	g.mu.Lock()
-	admission := g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key)
-	loaded := g.currentTable.Table() != nil
-	g.mu.Unlock()
+	var admission route.Admission
+	var loaded bool
+	g.locked(func() {
+		admission = g.currentTable.Admit(g.boot.Now(), q.req.Host, q.req.Path, q.req.Key)
+		loaded = g.currentTable.Table() != nil
+	})
 	switch a := admission.(type) {
 	case route.Admitted:
 		q.admitted, q.current = a, a
@@ -196,15 +200,14 @@
 func (q *request) prepare() bool {
 	g := q.gateway
 	digest := suspect.BodyDigest(q.body)
-	g.mu.Lock()
-	ok := q.chooseService(q.admitted.Route)
+	ok := false
+	g.locked(func() { ok = q.chooseService(q.admitted.Route) })
 	if ok {
 		q.profile.Target = q.admitted.Route.Target
 		q.profile.TargetTime = q.arrivedAt.Add(q.profile.Target)
 		q.profile.Deadline = q.latestFirstEvent()
 		q.fingerprint = suspect.NewFingerprint(q.admitted.Workspace, q.req.Method+" "+q.req.Target, digest)
 	}
-	g.mu.Unlock()
 	if !ok {
 		g.log.Info("request refused: no service has a share of the route", "request", q.req.ID, "route", q.admitted.Route.Name, "table", q.admitted.Version)
 		q.refuse("no-share", retryAfterDefault)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -259,18 +259,18 @@
 
 func (q *request) recordProgress(a *attempt) {
 	now := q.gateway.clock.Now()
-	q.gateway.mu.Lock()
-	q.gateway.planner.RecordProgress(now, a.placementID)
-	q.gateway.unanswered.RecordAlive(now, serverKey(a.server))
-	q.gateway.mu.Unlock()
+	q.gateway.locked(func() {
+		q.gateway.planner.RecordProgress(now, a.placementID)
+		q.gateway.unanswered.RecordAlive(now, serverKey(a.server))
+	})
 }
 
 // writeHead sends the head of the response.
 func (q *request) writeHead(x *backend.Exchange) {
 	q.gateway.protocol.CopyHeaders(q.response.Header(), x.Response)
 	q.announceClose()
+	q.delivered = true // before the write, which may send a part of the head and then panic
 	q.response.WriteHeader(x.Response.StatusCode)
-	q.delivered = true
 	q.firstByte = q.elapsed()
 	q.gateway.metrics.observe(q.admitted.Route.Name+"-first", q.firstByte)
 }
