sidecar: members of a group end soon after their link is lost

Cause: a member kept its memory for the rest of a lease of 10 s after its entry had been killed, although the loss of the link is seen at once.

Change: a lease ends at most 2.5 s after the link was lost. A live entry connects again at once, and its resume renews the lease. docs/design/ reservations.md has the bounds for gateways and sidecars.

--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// memberLease is how long a group member keeps its memory without a renewal. It equals orphanTimeout, so that a
-	// link that comes back within that time finds the member unchanged.
+	// memberLease is how long a group member keeps its memory without a renewal while its link is up. A link that is silent ends
+	// after 3 s.
 	memberLease = orphanTimeout
+	// detachedLease is how long a member keeps its memory without a link. An entry that is alive connects again at once. With
+	// housekeepingInterval, which passes at most until the end of a lease is seen, and the call to cancel the member's stream, it
+	// stays below 4 s, within which memory must be free after the end of its request.
+	detachedLease = 2500 * time.Millisecond
 	// segmentGenerateTokens is the number of tokens generated after a segment whose cache others fetch. The first shows
 	// that the prefill is complete. Then the stream is suspended, so that the engine keeps the cache and lists its
 	// memory as used. The others cover the time until the suspension takes effect: 600 ms at 10 ms per token.
@@ -200,9 +204,14 @@
 	if m == nil {
 		return
 	}
+	b.extendLease(now, m)
+	m.send(&link.Reserved{ID: id, Lease: m.leaseEnd.Sub(now), Received: m.messagesReceived})
+}
+
+// extendLease extends the lease of a member whose entry is alive.
+func (b *backend) extendLease(now time.Time, m *member) {
 	m.leaseEnd = earlier(now.Add(memberLease), m.deadline)
 	b.reserveMemory(now, m)
-	m.send(&link.Reserved{ID: id, Lease: m.leaseEnd.Sub(now), Received: m.messagesReceived})
 }
 
 // liveMember returns a member with a valid lease. If there is none, it reports this to the entry and returns nil.
@@ -333,6 +342,7 @@
 		return false
 	}
 	m.conn = conn
+	b.extendLease(now, m)
 	if s := b.streams[id]; s != nil {
 		s.conn = conn
 		if !s.isCacheSource() {
--- a/internal/sidecar/group_end.go
+++ b/internal/sidecar/group_end.go
@@ -108,11 +108,13 @@
 	}
 }
 
-// detachMembers detaches the members of a lost link. They are kept until their leases end.
-func (b *backend) detachMembers(conn *link.Conn) {
+// detachMembers detaches the members of a lost link. They are kept until their leases end, which is soon, since their entry may have
+// ended.
+func (b *backend) detachMembers(now time.Time, conn *link.Conn) {
 	for _, m := range b.members {
 		if m.conn == conn {
 			m.conn = nil
+			m.leaseEnd = earlier(m.leaseEnd, now.Add(detachedLease))
 		}
 	}
 }
--- a/internal/sidecar/offers.go
+++ b/internal/sidecar/offers.go
@@ -256,7 +256,7 @@
 	if b.leavingReports[conn] {
 		b.handleLeaving(now, conn, false)
 	}
-	b.detachMembers(conn)
+	b.detachMembers(now, conn)
 	for _, s := range b.streams {
 		if s.conn == conn {
 			s.conn, s.detachedAt = nil, now
