gateway: the status shows reserved memory and panics

Cause: operators saw in the log and the metrics only how many prompts have memory reserved and whether requests panicked. Change: "reserving" and "panics" in the status and in berylward status.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -311,8 +311,12 @@
 	}
 	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
 	t.row("held long prompts", "%d at all gateways, %d ms of prefill", st.HeldLong, st.HeldPrefill)
+	t.row("memory at engines", "reserved for %d prompts", st.Reserving)
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
+	if st.Panics > 0 {
+		t.row("panics", "%d requests since the start; see \"request panicked\" in the log", st.Panics)
+	}
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
 		t.row("quarantined request", "%s for %d ms", f, st.QuarantinedRequests[f])
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	tomb               tomb.Tomb
 	incarnation        uint64
 	active             atomic.Int64
+	reserving          atomic.Int64 // prompts with memory reserved at several engines
 	shutdown           *shutdown
 	conns              *callers.Conns
 
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -35,6 +35,7 @@
 	id          string
 	tokens      int64
 	failedIDs   []string // IDs of engines where the reservation failed
+	held        bool
 	stopRenewal context.CancelFunc
 	renewal     sync.WaitGroup
 }
@@ -84,6 +85,8 @@
 		l.release()
 		return err
 	}
+	l.held = true
+	l.request.gateway.reserving.Add(1)
 	ctx, cancel := context.WithCancel(l.request.ctx)
 	l.stopRenewal = cancel
 	l.renewal.Go(func() { l.renew(ctx) })
@@ -141,6 +144,10 @@
 
 // release ends the leases. When a release order fails, the lease expires by itself.
 func (l *leases) release() {
+	if l.held {
+		l.held = false
+		l.request.gateway.reserving.Add(-1)
+	}
 	if l.stopRenewal != nil {
 		l.stopRenewal()
 		l.renewal.Wait()
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -40,7 +40,7 @@
 					if len(first.Runs()) == 0 {
 						first, helper = helper, first
 					}
-					assert.Check(t, len(first.Runs()) == 1 && helper.Reserved() > 0)
+					assert.Check(t, len(first.Runs()) == 1 && helper.Reserved() > 0 && h.gateway.Status().Reserving == 1)
 					first.SetFault(tc.fault)
 					went, latest := time.Now(), time.Time{}
 					for time.Since(went) < 8*time.Second {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -53,6 +53,14 @@
 
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
+// value returns the value of a counter.
+func (m *metrics) value(name string) int64 {
+	if v, ok := m.counters.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
 // observe records a latency in the histogram of the given name, which is dropped once too many others have been used since.
 func (m *metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
--- a/internal/gateway/panics_test.go
+++ b/internal/gateway/panics_test.go
@@ -63,18 +63,24 @@
 						assert.Check(t, messages["request panicked"] == 1 && messages["request ended"] == 1, "%v", messages)
 					}
 					time.Sleep(time.Second)
+					assert.Check(t, h.gateway.Status().Panics == 6 && h.gateway.Status().Reserving == 0, "%+v", h.gateway.Status())
 					for _, b := range h.backends {
 						assert.Check(t, b.Reserved() == 0, "%s has %d tokens reserved", b.Server.ID, b.Reserved())
 					}
 					got := h.call(http.MethodPost, tc.path+"/a", tc.modify)
-					assert.Check(t, got.Status == http.StatusOK, "status %d", got.Status)
-					for _, line := range out.linesFor(t, got.id) {
-						if line["msg"] == "sent" {
-							assert.Check(t, line["short"] == 0.0 && line["long"] == 0.0, "%v", line)
-						}
-					}
+					out.checkNoLoad(t, got)
 				}, gateway.WithLogger(logs.Logger("gateway")))
 			})
 		}
 	}
 }
+
+// checkNoLoad checks that a request succeeded and that no load was counted at its backend server when it was sent.
+func (b *logBuffer) checkNoLoad(t *testing.T, got result) {
+	assert.Check(t, got.Status == http.StatusOK, "status %d", got.Status)
+	for _, line := range b.linesFor(t, got.id) {
+		if line["msg"] == "sent" {
+			assert.Check(t, line["short"] == 0.0 && line["long"] == 0.0, "%v", line)
+		}
+	}
+}
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -424,6 +424,8 @@
 		"other response": direct.WrongID{},
 		"no events":      direct.NoEvents{},
 		"breaks at once": direct.ClosesEarly{},
+		"status 000":     direct.StatusText{Text: "000 X"},
+		"status 600":     direct.StatusText{Text: "600 X"},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -439,6 +441,7 @@
 				assert.Equal(t, got.Status, 200)
 				assert.Assert(t, !got.complete)
 				assert.Equal(t, got.body, expectedStream(got.id, 1, 2))
+				time.Sleep(time.Second) // the stand-ins close the connections that they have taken over
 			})
 		})
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -32,6 +32,10 @@
 	HeldPrefill int64 `json:"held-prefill-ms"`
 	// Prompts is by route how many prompts of different lengths this gateway has answered since its start.
 	Prompts map[string]lengths.Shares `json:"prompts,omitempty"`
+	// Reserving is the number of prompts for which memory is reserved at several engines, Panics the number of requests whose
+	// goroutines panicked since the start.
+	Reserving int64 `json:"reserving"`
+	Panics    int64 `json:"panics"`
 	// QuarantinedRequests holds by fingerprint for how many milliseconds the request is not sent.
 	QuarantinedRequests map[string]int64 `json:"quarantined-requests-ms,omitempty"`
 	// QuarantinedParts holds by prompt part for how many milliseconds no request with it is sent.
@@ -48,6 +52,7 @@
 	s := Status{
 		Role: "gateway", Instance: g.Instance, Zone: g.Zone, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
+		Reserving: g.reserving.Load(), Panics: g.metrics.value("request-panics"),
 		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
--- a/internal/gateway/statuses_test.go
+++ b/internal/gateway/statuses_test.go
@@ -7,11 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/standin/direct"
+	"berylward.example/berylward/internal/telemetry"
 )
 
 // Guards against a response with a status that does not exist: below 100 it ended the caller's connection without an answer and
-// the request was not sent again, above 599 it was passed on, and with a refusal it passed for a promise that nothing ran.
+// the request was not sent again, above 599 it was passed on, and with a refusal it passed for a promise that nothing ran. Guards, too, against
+// load that stays counted.
 func TestInvalidStatuses(t *testing.T) {
 	routes := map[string]struct {
 		path, service string
@@ -30,6 +33,9 @@
 	for routeName, tc := range routes {
 		for faultName, fault := range faults {
 			t.Run(routeName+", "+faultName, func(t *testing.T) {
+				out := &logBuffer{}
+				logs, err := telemetry.NewLogs(out, "")
+				assert.NilError(t, err)
 				withHarness(t, func(h *harness) {
 					check := func(got result, status int) {
 						runs := len(h.runs(got.id))
@@ -50,8 +56,12 @@
 						}
 					}
 					assert.Check(t, struck > 0, "no request reached the faulty backend server")
-					time.Sleep(time.Second) // the stand-ins close the connections that they have taken over
-				})
+					time.Sleep(5 * time.Second) // the stand-ins close the connections that they have taken over
+					h.setFaults(tc.service, direct.NoFault{}, direct.NoFault{})
+					for range 4 {
+						out.checkNoLoad(t, h.call(http.MethodPost, tc.path, nil))
+					}
+				}, gateway.WithLogger(logs.Logger("gateway")))
 			})
 		}
 	}
