sidecar: reservations that wait are dropped with their link

Cause: a reservation of a group that waited for memory when its link was lost was granted later, for a lease of 10 s that no entry knew of.

An entry that resumes it is told that it was not granted.

--- a/internal/sidecar/group_end.go
+++ b/internal/sidecar/group_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"berylward.example/berylward/internal/link"
@@ -109,8 +110,10 @@
 }
 
 // detachMembers detaches the members of a lost link. They are kept until their leases end, which is soon, since their entry may have
-// ended.
+// ended. Reservations of the link that wait are dropped: if they were granted, nobody would know of it until the end of a whole lease.
+// An entry that asks for one on its next link is told that it was not granted.
 func (b *backend) detachMembers(now time.Time, conn *link.Conn) {
+	b.pendingReserves = slices.DeleteFunc(b.pendingReserves, func(p pendingReserve) bool { return p.conn == conn })
 	for _, m := range b.members {
 		if m.conn == conn {
 			m.conn = nil
