--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -15,6 +15,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/utils/clock"
+
+	"berylward.example/berylward/pkg/answer"
 )
 
 const (
@@ -260,7 +262,8 @@
 	pool      *Pool
 	idleLimit int
 	stopAbort func() bool
-	bodySent  chan error
+	// upload is nil if the request was written before the response was read.
+	upload *upload
 }
 
 // Exchange sends a request once and returns when the head of its response has arrived. Canceling ctx aborts the
@@ -311,8 +314,7 @@
 		return err
 	}
 	if r.ContentLength > maxInlineBody {
-		x.bodySent = make(chan error, 1)
-		go func() { x.bodySent <- write(c, r) }()
+		x.upload = startUpload(c, r)
 	} else if err := write(c, r); err != nil {
 		return err
 	}
@@ -328,13 +330,19 @@
 			return err
 		}
 		c.head.end()
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			interim++
 			continue
 		}
+		if !answer.IsFinalStatus(resp.StatusCode) {
+			return errors.Wrapf(errInvalidStatus, "status %03d", resp.StatusCode)
+		}
 		responses++
 		if options.Matches == nil || options.Matches(resp, c.reused) {
 			x.Response = resp
+			if x.upload != nil && endsWithConnection(resp) {
+				resp.Body = &unframedBody{ReadCloser: resp.Body, upload: x.upload}
+			}
 			return nil
 		}
 		if !c.reused || resp.ContentLength < 0 || resp.ContentLength > maxDiscard {
@@ -347,8 +355,12 @@
 	return errMismatchedResponse
 }
 
-// errMismatchedResponse means that the response belongs to another request. classify reports it as KindMalformed.
-var errMismatchedResponse = errors.New("response to another request")
+// classify reports these as KindMalformed. errMismatchedResponse means that the response belongs to another request,
+// errInvalidStatus that no answer can have its status.
+var (
+	errMismatchedResponse = errors.New("response to another request")
+	errInvalidStatus      = errors.New("not the status of an answer")
+)
 
 func write(c *conn, r *http.Request) error {
 	w := bufio.NewWriterSize(c, 4096)
@@ -365,9 +377,9 @@
 	switch {
 	case ctx.Err() != nil:
 		e.Kind = KindCanceled
-	case errors.Is(err, errMismatchedResponse), x.conn.head.exceeded():
+	case errors.Is(err, errMismatchedResponse), errors.Is(err, errInvalidStatus), x.conn.head.exceeded():
 		e.Kind = KindMalformed
-	case x.bodySent == nil && !x.conn.sentBytes:
+	case x.upload == nil && !x.conn.sentBytes:
 		e.Kind = KindUnsent
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		e.Kind = KindTimeout
@@ -404,7 +416,7 @@
 // the backend server also keeps it. keepAlive is how long the connection may stay idle; zero means the default.
 func (x *Exchange) Done(complete bool, keepAlive time.Duration) {
 	canceled := !x.stopAbort()
-	if complete && !canceled && !x.Response.Close && x.bodyWritten() {
+	if complete && !canceled && !x.Response.Close && x.upload.written() {
 		x.pool.put(x.conn, keepAlive, x.idleLimit)
 		return
 	}
@@ -420,17 +432,3 @@
 	x.stopAbort()
 	_ = x.conn.Close()
 }
-
-// bodyWritten reports whether the whole request was sent. If the response arrived before that, the connection cannot be
-// reused, because the rest of the body would be read as the next request.
-func (x *Exchange) bodyWritten() bool {
-	if x.bodySent == nil {
-		return true
-	}
-	select {
-	case err := <-x.bodySent:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -321,8 +321,12 @@
 		t.row("first events", "%s: %d, half within %d ms and 9 of 10 within %d ms, %d and %d predicted, %d later than predicted; off by %d and %d ms",
 			key, f.Count, f.Measured.P50, f.Measured.P90, f.Predicted.P50, f.Predicted.P90, f.Late, f.Distance.P50, f.Distance.P90)
 	}
+	t.row("memory at engines", "reserved for %d prompts", st.Reserving)
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
+	if st.Panics > 0 {
+		t.row("panics", "%d requests since the start; see \"request panicked\" in the log", st.Panics)
+	}
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
 		t.row("quarantined request", "%s for %d ms", f, st.QuarantinedRequests[f])
 	}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"berylward.example/berylward/internal/engine"
+	"berylward.example/berylward/internal/standin"
 )
 
 // withServer starts a server that reads one request per connection and writes response verbatim. It returns the
@@ -76,35 +77,55 @@
 		return c.Call(ctx, http.MethodPost, "bookings", http.Header{"Idempotency-Key": {"k"}}, []byte("x"),
 			func(engine.ResponsePart) error { return nil })
 	}
+	attach := func(ctx context.Context, c *engine.Client) error {
+		_, err := c.AttachStream(ctx, "a", 0, func(engine.Piece) error { return nil })
+		return err
+	}
 	cases := map[string]struct {
 		response string
 		invoke   func(context.Context, *engine.Client) error
 		kind     engine.ErrorKind
 		notRun   bool
 	}{
-		"memory full":             {statusResponse(507), run, engine.KindRejected, true},
-		"unavailable":             {statusResponse(503), run, engine.KindRejected, true},
-		"bad request":             {statusResponse(400), run, engine.KindRejected, true},
-		"conflict":                {statusResponse(409), run, engine.KindMayHaveRun, false},
-		"internal error":          {statusResponse(500), run, engine.KindMayHaveRun, false},
-		"lower fencing number":    {statusResponse(412), order, engine.KindFenced, true},
-		"no response":             {"", run, engine.KindMayHaveRun, false},
-		"no response to call":     {"", call, engine.KindMayHaveRun, false},
-		"truncated stream":        {truncatedStream, run, engine.KindMayHaveRun, false},
-		"truncated call":          {truncatedStream, call, engine.KindMayHaveRun, false},
-		"truncated load":          {truncatedStream, load, engine.KindMayHaveRun, false},
-		"call without length":     {"HTTP/1.0 200 OK\r\n\r\nab", call, engine.KindMalformed, false},
-		"stream without end":      {okResponse(`{"offset":0,"text":"abcd","tokens":1}`), run, engine.KindMayHaveRun, false},
-		"error line":              {okResponse(`{"error":"cancelled"}`), run, engine.KindMayHaveRun, false},
-		"gap":                     {okResponse(`{"offset":4,"text":"abcd","tokens":1}`), run, engine.KindMalformed, false},
-		"last line without usage": {okResponse(`{"done":true}`), run, engine.KindMalformed, false},
-		"invalid JSON":            {okResponse(`<html>`), run, engine.KindMalformed, false},
-		"load in invalid JSON":    {okResponse(`<html>`), load, engine.KindMalformed, false},
-		"line too long":           {okResponse(strings.Repeat("x", 256<<10+1)), run, engine.KindMalformed, false},
-		"complete stream":         {okResponse(`{"done":true,"usage":{}}`), run, "", false},
-		"redirect":                {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", call, "", false},
-		"redirected stream":       {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", run, engine.KindMayHaveRun, false},
-		"error status of a call":  {statusResponse(418), call, "", false},
+		"memory full":                {statusResponse(507), run, engine.KindRejected, true},
+		"unavailable":                {statusResponse(503), run, engine.KindRejected, true},
+		"bad request":                {statusResponse(400), run, engine.KindRejected, true},
+		"conflict":                   {statusResponse(409), run, engine.KindMayHaveRun, false},
+		"internal error":             {statusResponse(500), run, engine.KindMayHaveRun, false},
+		"lower fencing number":       {statusResponse(412), order, engine.KindFenced, true},
+		"no response":                {"", run, engine.KindMayHaveRun, false},
+		"no response to call":        {"", call, engine.KindMayHaveRun, false},
+		"truncated stream":           {truncatedStream, run, engine.KindMayHaveRun, false},
+		"truncated call":             {truncatedStream, call, engine.KindMayHaveRun, false},
+		"truncated load":             {truncatedStream, load, engine.KindMayHaveRun, false},
+		"call without length":        {"HTTP/1.0 200 OK\r\n\r\nab", call, engine.KindMalformed, false},
+		"stream without end":         {okResponse(`{"offset":0,"text":"abcd","tokens":1}`), run, engine.KindMayHaveRun, false},
+		"error line":                 {okResponse(`{"error":"cancelled"}`), run, engine.KindMayHaveRun, false},
+		"gap":                        {okResponse(`{"offset":4,"text":"abcd","tokens":1}`), run, engine.KindMalformed, false},
+		"last line without usage":    {okResponse(`{"done":true}`), run, engine.KindMalformed, false},
+		"invalid JSON":               {okResponse(`<html>`), run, engine.KindMalformed, false},
+		"load in invalid JSON":       {okResponse(`<html>`), load, engine.KindMalformed, false},
+		"line too long":              {okResponse(strings.Repeat("x", 256<<10+1)), run, engine.KindMalformed, false},
+		"complete stream":            {okResponse(`{"done":true,"usage":{}}`), run, "", false},
+		"redirect":                   {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", call, "", false},
+		"redirected stream":          {"HTTP/1.1 307 X\r\nLocation: /v1/load\r\nContent-Length: 0\r\n\r\n", run, engine.KindMayHaveRun, false},
+		"status 000, call":           {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 099, call":           {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 600, call":           {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"status 000, stream":         {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 099, stream":         {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 600, stream":         {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", run, engine.KindMalformed, false},
+		"status 000, resumed stream": {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 099, resumed stream": {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 600, resumed stream": {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", attach, engine.KindMalformed, false},
+		"status 000, order":          {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 099, order":          {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 600, order":          {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", order, engine.KindMalformed, false},
+		"status 000, probe":          {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 099, probe":          {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 600, probe":          {"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}", load, engine.KindMalformed, false},
+		"status 101, call":           {"HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\n{}", call, engine.KindMalformed, false},
+		"error status of a call":     {statusResponse(418), call, "", false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -256,3 +277,21 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that looks complete, because the service answered a long call before it had read it, and reset
+// the connection. A socket reports a reset once, and the write of the call may get that.
+func TestResetDuringUpload(t *testing.T) {
+	for framing, response := range standin.EarlyResponses {
+		for when, accepted := range map[string]int{"at once": 0, "within the upload": 64 << 10, "after the upload": -1} {
+			t.Run(framing+", "+when, func(t *testing.T) {
+				client := engine.New(netip.MustParseAddrPort("127.0.0.1:9"), engine.WithDialer(func(context.Context, string, string) (net.Conn, error) {
+					return standin.NewResetConn(response, accepted, 0), nil
+				}))
+				defer client.Close()
+				err := client.Call(t.Context(), http.MethodPost, "bookings", nil, make([]byte, 1<<20), func(engine.ResponsePart) error { return nil })
+				var failure *engine.Error
+				assert.Assert(t, errors.As(err, &failure) && !failure.NotRun(), "%v", err)
+			})
+		}
+	}
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -39,6 +39,10 @@
 	// Forecasts compares by route and band of prompt length, as ROUTE/BAND, the predicted with the measured times to first events
 	// since the start.
 	Forecasts map[string]ForecastAccuracy `json:"forecasts,omitempty"`
+	// Reserving is the number of prompts for which memory is reserved at several engines, Panics the number of requests whose
+	// goroutines panicked since the start.
+	Reserving int64 `json:"reserving"`
+	Panics    int64 `json:"panics"`
 	// QuarantinedRequests holds by fingerprint for how many milliseconds the request is not sent.
 	QuarantinedRequests map[string]int64 `json:"quarantined-requests-ms,omitempty"`
 	// QuarantinedParts holds by prompt part for how many milliseconds no request with it is sent.
@@ -55,6 +59,7 @@
 	s := Status{
 		Role: "gateway", Instance: g.Instance, Zone: g.Zone, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(), Forecasts: g.metrics.forecasts.accuracy(),
+		Reserving: g.reserving.Load(), Panics: g.metrics.value("request-panics"),
 		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -62,6 +62,13 @@
 	b.fault = fault
 }
 
+// Fault returns the fault for later requests.
+func (b *Backend) Fault() ServerFault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fault
+}
+
 // Runs returns the requests that have run.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -97,6 +104,19 @@
 	return sum
 }
 
+// ReservedUntil returns the latest time at which a lease that was not released expires, or the zero time.
+func (b *Backend) ReservedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var latest time.Time
+	for _, l := range b.leases {
+		if l.expiresAt.After(latest) {
+			latest = l.expiresAt
+		}
+	}
+	return latest
+}
+
 // Event returns the text of one event in the response stream of a request.
 func Event(id string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
@@ -120,6 +140,10 @@
 		b.orders++
 	}
 	b.mu.Unlock()
+	if _, vanished := fault.(Vanished); vanished {
+		<-r.Context().Done()
+		return
+	}
 	head := gateway.ResponseHead{ID: request.ID, Signed: true}
 	if request.ExpectedServer != b.Server.ID {
 		platform.SetResponseHead(w.Header(), gateway.ResponseHead{ID: request.ID})
@@ -150,6 +174,8 @@
 		head.Leaving = true
 	case Endless:
 		head.NotRun = fault.Refusal
+	case StatusText:
+		head.NotRun = fault.Refusal
 	case Unsigned:
 		head.Signed = false
 	case WrongID:
@@ -232,7 +258,7 @@
 // answer writes the response body and reports whether it was written completely.
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
 	switch fault := fault.(type) {
-	case CutsHead, Unframed:
+	case CutsHead, Unframed, StatusText:
 		return b.answerRaw(w, r, request, fault)
 	case Endless:
 		return writeEndless(w, fault)
@@ -313,72 +339,6 @@
 	return true
 }
 
-// answerRaw takes over the connection and writes a response whose head is cut, or whose body ends with the connection.
-func (b *Backend) answerRaw(w http.ResponseWriter, r *http.Request, request platform.BackendRequest, fault ServerFault) bool {
-	if !b.waitStep(r) {
-		return false
-	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return false
-	}
-	defer func() { _ = conn.Close() }()
-	lines := []string{"HTTP/1.1 200 OK"}
-	for name, values := range w.Header() {
-		lines = append(lines, name+": "+values[0])
-	}
-	if cut, ok := fault.(CutsHead); ok {
-		_, _ = io.WriteString(conn, strings.Join(lines[:min(cut.Lines, len(lines))], "\r\n")+"\r\n")
-		return true
-	}
-	body := Body(request.ID)
-	if b.Events > 0 {
-		body = ""
-		for n := int(request.ResumeAfter) + 1; n <= b.Events; n++ {
-			body += Event(request.ID, n)
-		}
-	}
-	if fault == (ServerFault(Unframed{Cut: true})) {
-		body = body[:len(body)-3]
-	}
-	_, err = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\nConnection: close\r\n\r\n"+body)
-	// Unlike TCP, a pipe whose other side is closed accepts no read deadline, so it stays open until the caller waits.
-	b.clock.Sleep(b.StepTime)
-	return err == nil
-}
-
-// endlessPart is the size in bytes of each write of a body without end.
-const endlessPart = 16 << 10
-
-// writeEndless writes a response until the connection is closed.
-func writeEndless(w http.ResponseWriter, fault Endless) bool {
-	out := io.Writer(w)
-	if fault.Unframed {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return false
-		}
-		defer func() { _ = conn.Close() }()
-		head := &http.Response{StatusCode: fault.Status, ProtoMajor: 1, ProtoMinor: 1, Header: w.Header(), ContentLength: -1, Close: true, Body: http.NoBody}
-		var text strings.Builder
-		if head.Write(&text) != nil {
-			return false
-		}
-		if _, err := io.WriteString(conn, text.String()); err != nil {
-			return false
-		}
-		out = conn
-	} else {
-		w.WriteHeader(fault.Status)
-	}
-	part := []byte(strings.Repeat("x", endlessPart))
-	for {
-		if _, err := out.Write(part); err != nil {
-			return false
-		}
-	}
-}
-
 // maxDripped is the length of a dripping body in bytes.
 const maxDripped = 10_000
 
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -31,6 +31,9 @@
 // RefusesLeases means that orders to reserve memory are refused.
 type RefusesLeases struct{}
 
+// Vanished means that orders and requests reach the server and are not answered, as if its machine had gone.
+type Vanished struct{}
+
 // Errors means that requests run and are answered with status 500 and a body of Size bytes.
 type Errors struct{ Size int }
 
@@ -68,6 +71,13 @@
 // in the middle of its last event.
 type Unframed struct{ Cut bool }
 
+// StatusText means that requests run and are answered completely, with this text in place of the status. With Refusal set, the
+// response also states that the request did not run.
+type StatusText struct {
+	Text    string
+	Refusal bool
+}
+
 // Endless means that requests run and that the body of a response goes on until the connection is closed. It completes no event.
 type Endless struct {
 	// Status is the status of the response. A refusal states that the request did not run.
@@ -90,6 +100,7 @@
 func (Leaves) serverFault()         {}
 func (RepeatsRefusal) serverFault() {}
 func (RefusesLeases) serverFault()  {}
+func (Vanished) serverFault()       {}
 func (Errors) serverFault()         {}
 func (ClosesEarly) serverFault()    {}
 func (Pauses) serverFault()         {}
@@ -98,6 +109,7 @@
 func (CutsHead) serverFault()       {}
 func (Unframed) serverFault()       {}
 func (Endless) serverFault()        {}
+func (StatusText) serverFault()     {}
 func (EndsOnPart) serverFault()     {}
 func (EndsOnPath) serverFault()     {}
 func (Unsigned) serverFault()       {}
