dispatch: prompts that yield are refused when their turn comes too late

Cause: a held prompt was sent when its time ran out, whatever went before it; engines worked for prompts that were cut at their deadlines, and for more urgent ones later. Change: a less urgent prompt is never sent out of turn and is refused as soon as its predicted turn passes its deadline, with the time that was missing.

--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -27,7 +27,7 @@
 
 // Guards against bursts in which long prompts take the engines that more urgent short prompts need. The engines bear the short
 // prompts in each case, so that nearly all of them have to begin in time; the long ones get what is left, so that some
-// have to be served.
+// have to be served, and no engine works in vain for one that misses its deadline.
 func TestUrgentShortPromptsInTime(t *testing.T) {
 	for name, o := range map[string]overload{
 		"burst of short prompts with a third of the engines gone": {
@@ -52,9 +52,16 @@
 				r := newOverloadRun(o, *firstOverloadSeed+seed)
 				r.play()
 				short, long := onTimeShare(r.short, start), servedShare(r.long)
-				t.Logf("short prompts in time %.2f of %d, long ones served %.2f of %d", short, len(r.short), long, len(r.long))
+				cut := 0
+				for _, c := range r.long {
+					if !c.served && !c.prefilledAt.IsZero() {
+						cut++
+					}
+				}
+				t.Logf("short prompts in time %.2f of %d, long ones served %.2f of %d, sent in vain %d", short, len(r.short), long, len(r.long), cut)
 				assert.Check(t, short >= 0.95)
 				assert.Check(t, long >= 0.25)
+				assert.Check(t, cut == 0, "%d long prompts were sent and not prefilled before their deadlines", cut)
 			}
 		})
 	}
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -141,7 +141,8 @@
 // expected is the predicted time to its first event if it is sent now.
 //
 // A prompt that has just arrived is refused if it would probably not be done before its deadline. One that is held keeps its
-// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out.
+// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out. A prompt that yields to
+// more urgent ones is never sent out of turn, so it is refused as soon as its turn probably comes too late.
 func awaitTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, expected time.Duration) (Placement, bool) {
 	needed := expected
 	if !t.due() && profile.HoldID == 0 {
@@ -151,8 +152,10 @@
 	switch {
 	case needed > left:
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(needed-left, minOverloadedRetry)}, true
-	case t.due(), expected+deadlineMargin > left:
+	case t.due(), expected+deadlineMargin > left && !profile.yields():
 		return nil, false
+	case profile.yields() && expected+t.wait > left:
+		return NoPlacement{Reason: Overloaded, RetryAfter: max(expected+t.wait-left, minOverloadedRetry)}, true
 	}
 	return hold(HoldTurn, candidates, expected), true
 }
