roster: servers and zones of a store that came back from an older copy

Cause: a restored store shows entries that were written before a drain, a removal or a restart that gateways have seen, lacks servers that wrote since, and assigns revisions again.

Change: entries carry the era of the store; revisions are compared within one era. The last entry of a server that has left, and that of an incarnation before the known one, count again only when their server writes on.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,8 +39,9 @@
 	StartedAt time.Time
 	// Sequence grows with the entries that this incarnation has written.
 	Sequence int64
-	// Revision is the store's revision of the entry.
-	Revision int64
+	// Revision is the store's revision of the entry, and Era the era of the store in which it was read. Revisions are
+	// comparable within one era only.
+	Revision, Era int64
 }
 
 // incarnation identifies one start of a server.
@@ -105,8 +106,10 @@
 // Roster holds the backend servers and the zones taken out of service. It must be used by one goroutine at a time.
 type Roster struct {
 	servers map[string]*Server
-	// missingUntil is when each server whose entry is missing is dropped.
-	missingUntil map[string]time.Time
+	// missing holds the servers whose entries are missing, by ID.
+	missing map[string]missingEntry
+	// era is the era of the store.
+	era int64
 	// Until recoveryUntil, a removed entry may be that of a live server that has not written its entry again since an
 	// outage of the store.
 	recoveryUntil time.Time
@@ -114,14 +117,25 @@
 	// They get no new requests, whatever their entry says.
 	leaving map[incarnation]time.Time
 	// former holds the incarnations that have left lately. The store may carry out their writes late.
-	former    map[incarnation]formerServer
-	zonesOut  map[string]bool
+	former map[incarnation]formerServer
+	// zonesOut holds the zones taken out of service, and until when each stays out without an entry of the operators; zero if
+	// it has one.
+	zonesOut  map[string]time.Time
 	byService map[string][]*Server
 }
 
+// missingEntry says when a server without an entry is dropped. It has been lost if the older copy lacks it from which the store
+// came back; then the server is used meanwhile.
+type missingEntry struct {
+	until time.Time
+	lost  bool
+}
+
 // formerServer is what is known of an incarnation that has left.
 type formerServer struct {
 	sequence int64
+	// era is the era of the store in which it left. Entries read in a later era may be from a copy made before.
+	era int64
 	// replaced is set if another incarnation has an entry under the same ID. The entry of one that has ended may be the late one, so
 	// an incarnation that goes on to write returns.
 	replaced bool
@@ -132,7 +146,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		servers: map[string]*Server{}, missingUntil: map[string]time.Time{}, leaving: map[incarnation]time.Time{}, zonesOut: map[string]bool{},
+		servers: map[string]*Server{}, missing: map[string]missingEntry{}, leaving: map[incarnation]time.Time{}, zonesOut: map[string]time.Time{},
 		former: map[incarnation]formerServer{},
 	}
 }
@@ -144,16 +158,22 @@
 // Put applies a new or changed entry.
 func (r *Roster) Put(s Server) Change {
 	old := r.servers[s.ID]
-	if r.isOutdated(old, &s) {
+	if r.isOutdated(old, &s) || r.precedes(&s, old) {
 		return Outdated{Server: &s}
 	}
-	if _, ok := r.missingUntil[s.ID]; ok {
-		delete(r.missingUntil, s.ID)
+	if old != nil && old.Era > s.Era {
+		return None{}
+	}
+	if _, ok := r.missing[s.ID]; ok {
+		delete(r.missing, s.ID)
 		r.byService = nil
 	}
-	if old != nil && old.Revision >= s.Revision {
+	if old != nil && old.Era == s.Era && old.Revision >= s.Revision {
 		return None{}
 	}
+	if old != nil && old.Era < s.Era && old.incarnation() == s.incarnation() && old.Sequence == s.Sequence {
+		s.ColdUntil = old.ColdUntil // the same entry, whose time to become warm has passed in part
+	}
 	r.servers[s.ID] = &s
 	r.byService = nil
 	delete(r.former, s.incarnation())
@@ -163,7 +183,7 @@
 	if old.incarnation() != s.incarnation() || old.Address != s.Address {
 		if old.incarnation() != s.incarnation() {
 			delete(r.leaving, old.incarnation())
-			r.former[old.incarnation()] = formerServer{sequence: old.Sequence, replaced: true}
+			r.former[old.incarnation()] = formerServer{sequence: old.Sequence, era: r.era, replaced: true}
 		}
 		return Joined{Server: &s, Previous: old}
 	}
@@ -176,20 +196,23 @@
 		return s.Sequence < known.Sequence
 	}
 	former, ok := r.former[s.incarnation()]
-	return ok && (s.Sequence < former.sequence || former.replaced && s.Sequence == former.sequence)
+	return ok && (s.Sequence < former.sequence || s.Sequence == former.sequence && (former.replaced || s.Era > former.era))
 }
 
 // Remove applies the removal of an entry.
-func (r *Roster) Remove(now time.Time, id string) Change {
+func (r *Roster) Remove(now time.Time, id string) Change { return r.remove(now, id, false) }
+
+// remove applies the removal of an entry, which is lost if a copy of the store from an earlier era lacks it.
+func (r *Roster) remove(now time.Time, id string, lost bool) Change {
 	s := r.servers[id]
 	if s == nil {
 		return None{}
 	}
 	if now.Before(r.recoveryUntil) && !s.Draining {
-		if _, ok := r.missingUntil[id]; ok {
+		if _, ok := r.missing[id]; ok {
 			return None{}
 		}
-		r.missingUntil[id] = r.recoveryUntil
+		r.missing[id] = missingEntry{until: r.recoveryUntil, lost: lost}
 		r.byService = nil
 		return Missing{Server: s, Until: r.recoveryUntil}
 	}
@@ -198,9 +221,9 @@
 
 func (r *Roster) drop(s *Server) Change {
 	delete(r.servers, s.ID)
-	delete(r.missingUntil, s.ID)
+	delete(r.missing, s.ID)
 	r.byService = nil
-	r.former[s.incarnation()] = formerServer{sequence: s.Sequence}
+	r.former[s.incarnation()] = formerServer{sequence: s.Sequence, era: r.era}
 	return Left{s}
 }
 
@@ -210,8 +233,8 @@
 	var changes []Change
 	present := make(map[string]bool, len(list))
 	for _, s := range list {
-		present[s.ID] = true
 		changes = append(changes, r.Put(s))
+		present[s.ID] = !r.isLost(&s)
 	}
 	var missing []string
 	for id := range r.servers {
@@ -221,7 +244,7 @@
 	}
 	slices.Sort(missing)
 	for _, id := range missing {
-		changes = append(changes, r.Remove(now, id))
+		changes = append(changes, r.remove(now, id, r.servers[id].Era < r.era))
 	}
 	return changes
 }
@@ -281,33 +304,42 @@
 			delete(r.former, id)
 		}
 	}
-	for id, until := range r.missingUntil {
-		if !now.Before(until) {
+	for id, m := range r.missing {
+		if !now.Before(m.until) {
 			changes = append(changes, r.drop(r.servers[id]))
 		}
 	}
+	for zone, until := range r.zonesOut {
+		if !until.IsZero() && !now.Before(until) {
+			changes = append(changes, r.SetZoneOut(zone, false))
+		}
+	}
 	return changes
 }
 
 // SetZoneOut records that operators took a zone out of service or put it back.
 func (r *Roster) SetZoneOut(zone string, out bool) Change {
-	if r.zonesOut[zone] == out {
+	_, known := r.zonesOut[zone]
+	if out {
+		r.zonesOut[zone] = time.Time{}
+	}
+	if known == out {
 		return None{}
 	}
 	r.byService = nil
 	if out {
-		r.zonesOut[zone] = true
 		return ZoneTakenOut{zone}
 	}
 	delete(r.zonesOut, zone)
 	return ZoneReturned{zone}
 }
 
-// ReplaceZonesOut applies the complete list of zones taken out of service.
+// ReplaceZonesOut applies the complete list of zones taken out of service. Zones that were taken out in an earlier era of the
+// store stay out.
 func (r *Roster) ReplaceZonesOut(zones []string) []Change {
 	var changes []Change
-	for zone := range r.zonesOut {
-		if !slices.Contains(zones, zone) {
+	for zone, until := range r.zonesOut {
+		if until.IsZero() && !slices.Contains(zones, zone) {
 			changes = append(changes, r.SetZoneOut(zone, false))
 		}
 	}
@@ -325,10 +357,10 @@
 		r.byService = map[string][]*Server{}
 		missing := map[string][]*Server{}
 		for _, s := range r.servers {
-			if s.Draining || r.zonesOut[s.Zone] || r.IsLeaving(s) {
+			if _, out := r.zonesOut[s.Zone]; out || s.Draining || r.IsLeaving(s) {
 				continue
 			}
-			if _, ok := r.missingUntil[s.ID]; ok {
+			if m, ok := r.missing[s.ID]; ok && !m.lost {
 				missing[s.Service] = append(missing[s.Service], s)
 			} else {
 				r.byService[s.Service] = append(r.byService[s.Service], s)
