route, peering: proofs are of one era of the store

Cause: revisions of different eras of a restored store cannot be compared, and a table that the copy lacks is not proven by an answer that does not show it.

Change: Proof carries the era. A state carries the version of the table in force and the era. CurrentTable counts as proven in an era only after the store has shown its version or a newer one there, and, in the era of a restored store, while no other gateway has reported a newer version.

--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -58,6 +58,8 @@
 	Held        []heldMessage
 	Work        []workMessage
 	Parts       []byte
+	Version     int64
+	Era         int64
 }
 
 // proofMessage follows the state in the same datagram. It is a message of its own because it differs by recipient.
@@ -68,6 +70,7 @@
 	Stamp       uint64
 	DelayMS     uint32
 	Revision    int64
+	Era         int64
 }
 
 type usageMessage struct {
@@ -101,7 +104,7 @@
 	}
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
-		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
+		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp, Version: s.Version, Era: s.Era,
 		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work),
 	}
 	for _, l := range loads {
@@ -124,6 +127,7 @@
 func EncodeProof(p Proof) ([]byte, error) {
 	data, err := cbor.Marshal(proofMessage{
 		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, DelayMS: uint32(p.Delay.Milliseconds()), Revision: p.Revision,
+		Era: p.Era,
 	})
 	if err != nil {
 		return nil, &Error{Op: "encode", Kind: KindMessage, Err: err}
@@ -147,11 +151,11 @@
 	}
 	proof := Proof{
 		Version: p.Version, Incarnation: p.Incarnation, Stamp: p.Stamp, Delay: time.Duration(p.DelayMS) * time.Millisecond,
-		Revision: p.Revision,
+		Revision: p.Revision, Era: p.Era,
 	}
 	s := State{
 		Incarnation: m.Incarnation, Sequence: m.Sequence, Zone: m.Zone, Stopping: m.Stopping,
-		Members: m.Members, Requests: m.Requests, Parts: m.Parts, Stamp: m.Stamp,
+		Members: m.Members, Requests: m.Requests, Parts: m.Parts, Stamp: m.Stamp, Version: m.Version, Era: m.Era,
 		Loads: make([]dispatch.Load, 0, len(m.Loads)),
 	}
 	for _, l := range m.Loads {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -85,6 +85,9 @@
 	// Stamp is when the state was sent, in milliseconds of a clock of the sender that keeps running during
 	// suspension.
 	Stamp uint64
+	// Version is the version of the routing table in force, and Era the era of the store from which the gateway has read
+	// last; zero when there is none.
+	Version, Era int64
 }
 
 type member struct {
--- a/internal/peering/proofs.go
+++ b/internal/peering/proofs.go
@@ -12,8 +12,8 @@
 type Proof struct {
 	// Version is the version of the table; zero means that there is no proof.
 	Version int64
-	// Revision is the revision of the store.
-	Revision int64
+	// Revision is the revision of the store, and Era the era of the store in which it counts.
+	Revision, Era int64
 	// Incarnation and Stamp are taken from the last state that the recipient had sent.
 	Incarnation, Stamp uint64
 	// Delay is the time between the arrival of the stamp and the query.
@@ -39,6 +39,8 @@
 	stamps  map[netip.AddrPort]receivedStamp
 	queried map[netip.AddrPort]Proof
 	proven  map[netip.AddrPort]Proof
+	// era is the era of the store.
+	era int64
 }
 
 // NewProofTracker returns a tracker without stamps and proofs.
@@ -68,10 +70,13 @@
 func (p *ProofTracker) QuerySucceeded(version, revision int64) {
 	p.proven = p.queried
 	for gateway, proof := range p.proven {
-		proof.Version, proof.Revision = version, revision
+		proof.Version, proof.Revision, proof.Era = version, revision, p.era
 		p.proven[gateway] = proof
 	}
 }
 
+// EnterEra records that the store is in another era since. Earlier proofs mean nothing there.
+func (p *ProofTracker) EnterEra(era int64) { p.era, p.proven = era, nil }
+
 // ProofFor returns the proof for a gateway.
 func (p *ProofTracker) ProofFor(to netip.AddrPort) Proof { return p.proven[to] }
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -52,6 +52,9 @@
 	// which this gateway has applied all changes.
 	provenAt time.Time
 	revision int64
+	// era is the era of the store in which revision counts. shown is the newest version that the store has shown in this era,
+	// and reported the newest one that another gateway has reported.
+	era, shown, reported int64
 	// maxKeyProofAge is the age of the proof from which requests that need a caller key are no longer admitted; zero
 	// means no limit.
 	maxKeyProofAge time.Duration
@@ -65,6 +68,7 @@
 
 // Install puts a table into force if its version is newer than that of the table in force, and reports whether it did.
 func (c *CurrentTable) Install(t *Table) bool {
+	c.shown = max(c.shown, t.Version)
 	if c.table != nil && t.Version <= c.table.Version {
 		return false
 	}
@@ -73,19 +77,42 @@
 }
 
 // Prove records that this gateway itself found the table in force to be the latest version at a point in time, and that
-// it has applied all changes of the store up to a revision.
-func (c *CurrentTable) Prove(at time.Time, revision int64) {
+// it has applied all changes of the store up to a revision. It reports whether this proves anything, see Provable.
+func (c *CurrentTable) Prove(at time.Time, revision int64) bool {
 	c.revision = max(c.revision, revision)
+	if !c.Provable() {
+		return false
+	}
 	if at.After(c.provenAt) {
 		c.provenAt = at
 	}
+	return true
+}
+
+// EnterEra records that the store has come back from an older copy and is in another era since. The table in force stays, but
+// the store proves it only when it has shown its version or a newer one again. Revisions of earlier eras mean nothing.
+func (c *CurrentTable) EnterEra(era int64) { c.era, c.revision, c.shown = era, 0, 0 }
+
+// Era returns the era of the store in which revisions count.
+func (c *CurrentTable) Era() int64 { return c.era }
+
+// RecordReported records the version of the table that is in force at another gateway. A store that was restored from a copy may
+// lack that version, so that a gateway that starts reads an older one.
+func (c *CurrentTable) RecordReported(version int64) { c.reported = max(c.reported, version) }
+
+// Provable reports whether answers of the store can prove that the table in force is the latest version. They cannot while the
+// store has come back from a copy that is older than the table. In the era of a restored store, they also cannot while another
+// gateway has a newer table.
+func (c *CurrentTable) Provable() bool {
+	return c.table == nil || c.shown >= c.table.Version && (c.era == 0 || c.reported <= c.table.Version)
 }
 
 // ProveByPeer records that another gateway found a version of the table to be the latest one at a point in time, when the
 // store had no changes after a revision. It reports whether this counts: only for the version in force, and only if this
-// gateway has applied all changes up to that revision, so that everything else it has read is as recent as the proof.
+// gateway has applied all changes up to that revision, so that everything else it has read is as recent as the proof. The
+// proof must be of the same era of the store.
 func (c *CurrentTable) ProveByPeer(version, revision int64, at, now time.Time) bool {
-	if c.table == nil || c.table.Version != version || at.After(now) || revision > c.revision || !at.After(c.provenAt) {
+	if c.table == nil || !c.Provable() || c.table.Version != version || at.After(now) || revision > c.revision || !at.After(c.provenAt) {
 		return false
 	}
 	c.provenAt = at
