platform, gateway: the era is part of the position in the store

Cause: the store may come back from a copy that is some seconds old. A gateway went on with its watch from a revision that the store had assigned again, missed what came between, and let the copy undo what it had seen.

Change: the client of the store reads the era of each answer, discards answers of an earlier era, and ends a read or a watch whose answer is of a later one. The gateway then reads everything in the new era and continues from there. A watch is cut short when another gateway has seen a later era for 0.5 s. While the store lacks the table in force, watches are not cut for want of a proof. The stand-in of the store has Copy, Restore and late answers.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -90,8 +90,12 @@
 	Read(ctx context.Context, allowStale bool, partial func([]Update)) ([]Update, int64, error)
 	// Watch waits at most wait for changes after a revision. It returns them and the revision for the next call.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]Update, int64, error)
-	// Compacted reports whether an error of Watch means that the store no longer has the requested history, so that
-	// Read is needed.
+	// Era returns the era of what Read, its partial function or Watch have returned last. The era rises each time the store
+	// comes back from an older copy; revisions are comparable within one era only. Neither method returns anything of an
+	// earlier era than before.
+	Era() int64
+	// Compacted reports whether an error means that the store no longer has the requested history, or has come back from an
+	// older copy, so that Read is needed.
 	Compacted(err error) bool
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -46,7 +46,10 @@
 	if _, ok := result.(peering.Fresh); ok {
 		bootNow := g.boot.Now()
 		g.proofs.RecordStamp(from, s, bootNow)
-		if proof.Incarnation == g.incarnation {
+		g.watch.sawEra(bootNow, s.Era, g.currentTable.Era())
+		g.currentTable.RecordReported(s.Version)
+		// Revisions of different eras of the store cannot be compared.
+		if proof.Incarnation == g.incarnation && proof.Era == g.currentTable.Era() {
 			g.watch.sawRevision(bootNow, proof.Revision, g.currentTable.Revision())
 			if g.currentTable.ProveByPeer(proof.Version, proof.Revision, proof.ProvenAt(), bootNow) {
 				g.metrics.count("peer-proofs")
@@ -123,6 +126,10 @@
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.shutdown.hasBegun(), Members: members, Loads: loads,
 		RetryUsage: g.retries.LocalUsage(now), Stamp: uint64(g.boot.Now().UnixMilli()),
+		Era: g.currentTable.Era(),
+	}
+	if t := g.currentTable.Table(); t != nil {
+		s.Version = t.Version
 	}
 	queue := g.planner.Queue(now)
 	s.Held, s.Work = queue.Held, queue.Work
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -150,14 +150,20 @@
 	var zonesOut []string
 	var changes []roster.Change
 	var logCalls []func()
+	newerTable := false
 	g.mu.Lock()
-	if g.currentTable.ProofAge(g.boot.Now()) >= outageProofAge {
+	// The age of a table that the store cannot prove does not tell how long the store was unavailable.
+	if g.currentTable.Provable() && g.currentTable.ProofAge(g.boot.Now()) >= outageProofAge {
 		g.roster.StoreRecovered(now)
 	}
+	if logCall := g.enterEra(now); logCall != nil {
+		logCalls = append(logCalls, logCall)
+	}
 	for _, update := range updates {
 		switch u := update.(type) {
 		case TableUpdate:
 			if g.currentTable.Install(u.Table) {
+				newerTable = true
 				logCalls = append(logCalls, func() {
 					g.log.Info("table in force", "version", u.Table.Version, "routes", u.Table.Routes())
 				})
@@ -190,10 +196,15 @@
 		changes = append(changes, g.roster.Replace(now, servers)...)
 		changes = append(changes, g.roster.ReplaceZonesOut(zonesOut)...)
 	}
+	if newerTable {
+		changes = append(changes, g.roster.ReleaseZones()...)
+	}
 	if readable && g.currentTable.Table() != nil {
-		g.currentTable.Prove(sent, revision)
+		proven := g.currentTable.Prove(sent, revision)
 		if revision > 0 {
-			g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+			if proven {
+				g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+			}
 			g.watch.applied(revision)
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -30,8 +30,11 @@
 	proofLimit   = 2200 * time.Millisecond
 	proofStagger = 150 * time.Millisecond
 	maxStaggered = 4
-	// behindLimit is how long another gateway may have seen a later revision before a watch is cut short.
-	behindLimit = 300 * time.Millisecond
+	// behindLimit is how long another gateway may have seen a later revision before a watch is cut short, and laterEraLimit
+	// how long it may have seen a later era. Most gateways notice a restored store by themselves, since it closes their
+	// connections, and a gateway whose path leads to the earlier era must not ask all the time.
+	behindLimit   = 300 * time.Millisecond
+	laterEraLimit = 500 * time.Millisecond
 	// After a watch that returned changes, there is a pause, because changes come in groups: all gateways call at the
 	// same time after each of them, and the store turns away calls beyond its rate over all readers. The pause grows with
 	// the group by batchPausePerGateway, up to maxBatchPause and to batchPauseShare of the time in which changes must be in
@@ -55,9 +58,14 @@
 	// revision of this gateway.
 	newest      int64
 	behindSince time.Time
+	// laterEra is an era of the store that another gateway has seen and this one has not, zero when there is none, and
+	// laterEraSince when that was first known.
+	laterEra      int64
+	laterEraSince time.Time
 }
 
-// sawRevision records the revision in the proof of another gateway. own is the revision of this gateway.
+// sawRevision records the revision in the proof of another gateway. own is the revision of this gateway. Both are of the
+// same era.
 func (w *pendingWatch) sawRevision(now time.Time, revision, own int64) {
 	if revision > own && w.newest <= own {
 		w.behindSince = now
@@ -67,7 +75,20 @@
 
 // applied records that the store answered a call of this gateway with a revision. The store's answers are never older
 // than earlier ones, so a later revision reported before cannot have been right.
-func (w *pendingWatch) applied(revision int64) { w.newest = min(w.newest, revision) }
+func (w *pendingWatch) applied(revision int64) {
+	w.newest = min(w.newest, revision)
+	w.laterEra = 0
+}
+
+// sawEra records the era of the store that another gateway has reported. own is the era of this gateway.
+func (w *pendingWatch) sawEra(now time.Time, era, own int64) {
+	if era > own && w.laterEra == 0 {
+		w.laterEra, w.laterEraSince = era, now
+	}
+}
+
+// enterEra drops what was known of revisions, which are of an earlier era.
+func (w *pendingWatch) enterEra() { w.newest, w.laterEra = 0, 0 }
 
 // reasonToCut returns why a watch with a long wait must be cut short, or an empty string.
 func (w *pendingWatch) reasonToCut(now time.Time, own int64, proofAge time.Duration, rank int) string {
@@ -76,6 +97,8 @@
 		return ""
 	case w.newest > own && now.Sub(w.behindSince) >= behindLimit:
 		return "behind"
+	case w.laterEra > 0 && now.Sub(w.laterEraSince) >= laterEraLimit:
+		return "era"
 	case proofAge >= proofLimit+time.Duration(min(rank, maxStaggered))*proofStagger:
 		return "unproven"
 	}
@@ -122,7 +145,12 @@
 func (g *Gateway) checkWatch() {
 	now := g.boot.Now()
 	g.mu.Lock()
-	reason := g.watch.reasonToCut(now, g.currentTable.Revision(), g.currentTable.ProofAge(now), g.group.ZoneRank())
+	age := g.currentTable.ProofAge(now)
+	if !g.currentTable.Provable() {
+		// The store cannot prove the table before it is published again, and the pending watch will tell that.
+		age = 0
+	}
+	reason := g.watch.reasonToCut(now, g.currentTable.Revision(), age, g.group.ZoneRank())
 	if reason != "" {
 		g.watch.cut = true
 		g.watch.cancel()
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -4,10 +4,12 @@
 package direct
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"k8s.io/utils/clock"
 
@@ -17,8 +19,8 @@
 // itemsPerPage is the largest number of items in one page of a range unless SetPageSize sets another.
 const itemsPerPage = 20
 
-// Outage is a way in which the store fails. It is a sealed interface: NoOutage, NoAnswer, Unavailable and ConnClosed
-// are its only implementations.
+// Outage is a way in which the store fails. It is a sealed interface: NoOutage, NoAnswer, Unavailable, ConnClosed and
+// LateAnswers are its only implementations.
 //
 //sumtype:decl
 type Outage interface{ outage() }
@@ -35,7 +37,11 @@
 // ConnClosed means that the connections of calls are closed without an answer.
 type ConnClosed struct{}
 
+// LateAnswers means that answers arrive late. They say what held before.
+type LateAnswers struct{ By time.Duration }
+
 func (NoOutage) outage()    {}
+func (LateAnswers) outage() {}
 func (NoAnswer) outage()    {}
 func (Unavailable) outage() {}
 func (ConnClosed) outage()  {}
@@ -50,7 +56,10 @@
 	revision  int64
 	compacted int64
 	// lag is the number of changes by which stale reads are behind.
-	lag     int64
+	lag int64
+	// base holds the items as of the revision compacted. era counts the restores.
+	base    map[string]platform.Item
+	era     int64
 	outage  Outage
 	changed chan struct{}
 	calls   int
@@ -99,9 +108,10 @@
 	s.lag = changes
 }
 
-// itemsAt returns the items as of a revision. The caller holds the lock.
+// itemsAt returns the items as of a revision, or as of the last Compact if that is later. The caller holds the lock.
 func (s *Store) itemsAt(revision int64) map[string]platform.Item {
 	items := map[string]platform.Item{}
+	maps.Copy(items, s.base)
 	for _, item := range s.history {
 		if item.Revision > revision {
 			break
@@ -119,10 +129,44 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history, s.compacted = nil, s.revision
+	s.history, s.compacted, s.base = nil, s.revision, maps.Clone(s.items)
+	s.notify()
+}
+
+// Copy is a copy of the store, as taken by Copy.
+type Copy struct {
+	items    map[string]platform.Item
+	revision int64
+}
+
+// Copy takes a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// Restore replaces the items by those of an earlier copy and begins another era. Revisions after that of the copy are
+// assigned again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items, s.revision = maps.Clone(c.items), c.revision
+	if s.compacted > c.revision {
+		s.history, s.compacted, s.base = nil, c.revision, maps.Clone(c.items)
+	}
+	s.history = slices.DeleteFunc(s.history, func(item platform.Item) bool { return item.Revision > c.revision })
 	s.notify()
 }
 
+// Era returns the era of the store: how often it has been restored.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // SetOutage sets the outage of the store, also for watches that are waiting. Calls that are left unanswered under
 // NoAnswer stay unanswered.
 func (s *Store) SetOutage(o Outage) {
@@ -173,7 +217,7 @@
 	outage := s.outage
 	s.mu.Unlock()
 	switch outage.(type) {
-	case NoOutage:
+	case NoOutage, LateAnswers:
 		return true
 	case NoAnswer:
 		<-r.Context().Done()
@@ -193,6 +237,7 @@
 		revision -= s.lag
 		visible = s.itemsAt(revision)
 	}
+	era := s.era
 	for key, item := range visible {
 		if strings.HasPrefix(key, c.Prefix) && key > c.After {
 			items = append(items, item)
@@ -205,7 +250,7 @@
 	if more {
 		items = items[:pageSize]
 	}
-	writeItems(w, items, false, more, revision)
+	s.writeAnswer(w, era, items, false, more, revision)
 }
 
 func (s *Store) answerWatch(w http.ResponseWriter, r *http.Request, c platform.WatchRequest) {
@@ -218,22 +263,24 @@
 				events = append(events, item)
 			}
 		}
-		revision, compacted, changed := s.revision, c.After < s.compacted, s.changed
+		revision, gone, changed := s.revision, c.After < s.compacted || s.era > 0 && c.After > s.revision, s.changed
+		era := s.era
 		s.mu.Unlock()
 		switch {
 		case !s.checkOutage(w, r):
 			return
-		case compacted:
+		case gone:
+			setEra(w, era)
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
-			writeItems(w, events, true, false, revision)
+			s.writeAnswer(w, era, events, true, false, revision)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeItems(w, nil, true, false, revision)
+			s.writeAnswer(w, era, nil, true, false, revision)
 			return
 		case <-r.Context().Done():
 			return
@@ -241,11 +288,26 @@
 	}
 }
 
-func writeItems(w http.ResponseWriter, items []platform.Item, events, more bool, revision int64) {
+// setEra tells the era of an answer. A store that was never restored tells none, like stores that predate eras.
+func setEra(w http.ResponseWriter, era int64) {
+	if era > 0 {
+		platform.SetStoreEra(w.Header(), era)
+	}
+}
+
+// writeAnswer writes the answer to a call, late if the store is set so.
+func (s *Store) writeAnswer(w http.ResponseWriter, era int64, items []platform.Item, events, more bool, revision int64) {
 	data, err := platform.EncodeItems(items, events, more, revision)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	s.mu.Lock()
+	outage := s.outage
+	s.mu.Unlock()
+	if late, ok := outage.(LateAnswers); ok {
+		<-s.clock.After(late.By)
+	}
+	setEra(w, era)
 	_, _ = w.Write(data)
 }
