gateway, roster, peering: what a restored store lacks is told to gateways that start

Cause: a gateway that starts beside a store that came back from an older copy knows only the copy.

Change: a datagram carries up to six servers and three zones out of service. They count for 2 s, and not where the recipient has read a later entry. A gateway that starts beside a store that was ever restored admits requests 0.3 s after the first report of another gateway, and after 0.7 s at the latest. The status shows the era, a table that the store lacks, and zones that are held.

A full report takes at most 90 bytes.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -297,6 +297,9 @@
 	} else {
 		t.row("table", "version %d, proven %d ms ago", st.TableVersion, st.TableAge)
 	}
+	if st.StoreEra > 0 {
+		t.row("store era", "%d, table lost: %t, zones held: %s", st.StoreEra, st.TableLost, joinOrNone(st.ZonesHeld))
+	}
 	t.row("backend servers", "%d, %d of them get no requests", st.BackendServers, len(st.Unavailable))
 	for _, server := range st.Unavailable {
 		if server.ForMS > 0 {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -47,7 +47,12 @@
 	clients  []*http.Client
 	// storeCut holds the gateways that are cut off from the store.
 	storeCut []atomic.Bool
-	version  int64
+	// otherStore holds the listeners of gateways that reach another store; dialStore opens their connections.
+	otherStore []atomic.Pointer[standin.MemoryListener]
+	dialStore  []func(context.Context, string, string) (net.Conn, error)
+	version    int64
+	// clientsInUse holds one value while a client is used or replaced. A mutex would keep the virtual time from advancing.
+	clientsInUse chan struct{}
 }
 
 func fleetAddress(i int) netip.AddrPort {
@@ -60,6 +65,7 @@
 		f := &fleet{
 			test: t, store: direct.NewStore(clock.RealClock{}), network: standin.NewPacketNetwork(2 * time.Millisecond),
 			gateways: make([]atomic.Pointer[gateway.Gateway], o.gateways), storeCut: make([]atomic.Bool, o.gateways),
+			clientsInUse: make(chan struct{}, 1), otherStore: make([]atomic.Pointer[standin.MemoryListener], o.gateways),
 		}
 		f.store.SetPageSize(500)
 		f.publish(callerKey)
@@ -77,17 +83,23 @@
 		random := rand.New(rand.NewPCG(7, 7))
 		for i := range o.gateways {
 			own := standin.NewLink(o.gatewayLink)
-			store := platform.NewStore(storeAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 				if f.storeCut[i].Load() {
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
-				conn, err := listener.DialContext(ctx, network, address)
+				from := listener
+				if other := f.otherStore[i].Load(); other != nil {
+					from = other
+				}
+				conn, err := from.DialContext(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
 				return &silencedConn{Conn: own.Limit(shared.Limit(conn)), silent: &f.storeCut[i]}, nil
-			})
+			}
+			f.dialStore = append(f.dialStore, dial)
+			store := platform.NewStore(storeAddress, dial)
 			f.stores = append(f.stores, store)
 			callers := standin.NewMemoryListener(callerAddress)
 			f.clients = append(f.clients, callers.Client())
@@ -159,8 +171,11 @@
 }
 
 // status returns the status code that a gateway answers a keyed request for a backend server with.
-func (f *fleet) status(i int, key string) int {
-	c := gateway.CallerRequest{ID: "probe", Method: http.MethodGet, Target: "/look/a", Host: callerHost, Key: key, Timeout: time.Second}
+func (f *fleet) status(i int, key string) int { return f.statusAt(i, "/look/a", key, nil) }
+
+// statusAt is status for a path and a prompt, nil for none.
+func (f *fleet) statusAt(i int, path, key string, prompt *gateway.Prompt) int {
+	c := gateway.CallerRequest{ID: "probe", Prompt: prompt, Method: http.MethodGet, Target: path, Host: callerHost, Key: key, Timeout: time.Second}
 	resp, err := f.clients[i].Do(platform.EncodeCallerRequest(callerAddress, c, nil).WithContext(f.test.Context()))
 	assert.NilError(f.test, err)
 	assert.NilError(f.test, resp.Body.Close())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 	shutdown           *shutdown
 	conns              *callers.Conns
 
-	// mu guards the fields from currentTable to watch.
+	// mu guards the fields from currentTable to firstReadClosed.
 	mu           sync.Mutex
 	currentTable *route.CurrentTable
 	roster       *roster.Roster
@@ -92,7 +92,11 @@
 	parts        *suspect.PartRegistry
 	random       *rand.Rand
 	watch        pendingWatch
-	// firstReadDone is closed when the first read of the store has succeeded or failed.
+	// awaitUntil is until when this gateway, which has started, waits for reports of others; zero when it does not wait.
+	awaitUntil time.Time
+	// firstRead is set when the first read of the store has succeeded or failed.
+	firstRead, firstReadClosed bool
+	// firstReadDone is closed, and firstReadClosed set, when the first read has ended and reports of others are not awaited.
 	firstReadDone chan struct{}
 }
 
@@ -165,6 +169,7 @@
 	}
 	g.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", g.callers.Addr().String(), "seeds", len(s.Seeds),
 		"connection-limit", g.conns.Usage().Limit)
+	g.awaitReports()
 	g.serveCallers()
 	g.tomb.Go(g.followStore)
 	if g.peerConn != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -46,8 +46,7 @@
 	if _, ok := result.(peering.Fresh); ok {
 		bootNow := g.boot.Now()
 		g.proofs.RecordStamp(from, s, bootNow)
-		g.watch.sawEra(bootNow, s.Era, g.currentTable.Era())
-		g.currentTable.RecordReported(s.Version)
+		g.recordReport(now, s)
 		// Revisions of different eras of the store cannot be compared.
 		if proof.Incarnation == g.incarnation && proof.Era == g.currentTable.Era() {
 			g.watch.sawRevision(bootNow, proof.Revision, g.currentTable.Revision())
@@ -126,7 +125,7 @@
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.shutdown.hasBegun(), Members: members, Loads: loads,
 		RetryUsage: g.retries.LocalUsage(now), Stamp: uint64(g.boot.Now().UnixMilli()),
-		Era: g.currentTable.Era(),
+		Era: g.currentTable.Era(), Out: g.roster.Report(),
 	}
 	if t := g.currentTable.Table(); t != nil {
 		s.Version = t.Version
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -17,11 +17,17 @@
 	Stopping bool   `json:"stopping"`
 	Running  int64  `json:"running"`
 	// TableVersion is the version of the routing table in force, zero when there is none; TableAge is in milliseconds.
-	TableVersion   int64  `json:"table"`
-	TableAge       int64  `json:"table-age-ms"`
-	BackendServers int    `json:"backend-servers"`
-	Gateways       int    `json:"gateways"`
-	Connections    uint64 `json:"connections-opened"`
+	TableVersion int64 `json:"table"`
+	TableAge     int64 `json:"table-age-ms"`
+	// StoreEra is how often the store has come back from an older copy, by its own count. TableLost is set while the store lacks the table in force,
+	// or another gateway has a newer one, so that the table cannot be proven. ZonesHeld are zones that are out only because they were before the
+	// store came back.
+	StoreEra       int64    `json:"store-era,omitempty"`
+	TableLost      bool     `json:"table-lost,omitempty"`
+	ZonesHeld      []string `json:"zones-held,omitempty"`
+	BackendServers int      `json:"backend-servers"`
+	Gateways       int      `json:"gateways"`
+	Connections    uint64   `json:"connections-opened"`
 	// CallerConnections are the connections that callers have open.
 	CallerConnections callers.Usage `json:"caller-connections"`
 	// ReportAges is by zone the age of the oldest report of another gateway, in milliseconds.
@@ -55,6 +61,7 @@
 	if t := g.currentTable.Table(); t != nil {
 		s.TableVersion, s.TableAge = t.Version, int64(g.currentTable.ProofAge(g.boot.Now())/time.Millisecond)
 	}
+	s.StoreEra, s.TableLost, s.ZonesHeld = g.currentTable.Era(), !g.currentTable.Provable(), g.roster.HeldZones()
 	s.BackendServers, s.Gateways = g.roster.Len(), g.group.Size()
 	now := g.clock.Now()
 	for zone, age := range g.group.ReportAges(now) {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,7 +31,6 @@
 	var failedSince time.Time
 	pause := retryMin
 	allowStale := true
-	markFirstReadDone := sync.OnceFunc(func() { close(g.firstReadDone) })
 	for ctx.Err() == nil {
 		g.mu.Lock()
 		sent := g.boot.Now()
@@ -46,7 +44,7 @@
 			updates, next, err = g.store.Read(ctx, allowStale, func(part []Update) {
 				// The part does not cover all changes up to any revision.
 				if g.apply(sent, part, 0, false) {
-					markFirstReadDone()
+					g.markFirstRead()
 				}
 			})
 		} else {
@@ -59,7 +57,7 @@
 			continue
 		}
 		if err != nil {
-			markFirstReadDone()
+			g.markFirstRead()
 			g.metrics.count("store-errors")
 			if g.store.Compacted(err) {
 				g.log.Info("store history compacted; reading all entries", "revision", revision)
@@ -88,7 +86,7 @@
 		}
 		pause = retryMin
 		applied := g.apply(sent, updates, next, full)
-		markFirstReadDone()
+		g.markFirstRead()
 		if !applied {
 			// The newest table could not be decoded, so the one in force cannot be proven. Read everything again.
 			revision, allowStale = 0, false
@@ -129,6 +127,7 @@
 	for g.sleep(expireInterval) {
 		now := g.clock.Now()
 		g.mu.Lock()
+		g.endAwait(now)
 		changes := g.roster.Expire(now)
 		g.planner.Expire(now)
 		g.mu.Unlock()
--- a/internal/peering/era_test.go
+++ b/internal/peering/era_test.go
@@ -7,8 +7,28 @@
 	"gotest.tools/v3/assert"
 
 	"berylward.example/berylward/internal/peering"
+	"berylward.example/berylward/internal/roster"
 )
 
+// Guards against a report of servers and zones out of service that gets lost, or makes a datagram too long.
+func TestReportInDatagram(t *testing.T) {
+	state := peering.State{Incarnation: 3}
+	without, err := peering.Encode(state)
+	assert.NilError(t, err)
+	for i := range 6 {
+		state.Out.Servers = append(state.Out.Servers, roster.ServerOut{Key: 1<<31 + uint32(i), Sequence: 100_000})
+	}
+	state.Out.Zones = []string{"zone-1", "zone-2", "zone-3"}
+	with, err := peering.Encode(state)
+	assert.NilError(t, err)
+	assert.Assert(t, len(with)-len(without) <= 90, "%d bytes", len(with)-len(without))
+	proof, err := peering.EncodeProof(peering.Proof{})
+	assert.NilError(t, err)
+	decoded, _, err := peering.Decode(append(with, proof...))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded.Out, state.Out)
+}
+
 // Guards against a proof of one era of the store that a gateway takes for one of another era, whose revisions mean something else.
 func TestProofsAcrossEras(t *testing.T) {
 	state := peering.State{Incarnation: 3, Stamp: 70_000, Version: 8, Era: 2}
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/roster"
 )
 
 // ErrorKind classifies an Error of this package.
@@ -60,6 +61,14 @@
 	Parts       []byte
 	Version     int64
 	Era         int64
+	ServersOut  []outMessage
+	ZonesOut    []string
+}
+
+type outMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Key      uint32
+	Sequence int64
 }
 
 // proofMessage follows the state in the same datagram. It is a message of its own because it differs by recipient.
@@ -104,7 +113,7 @@
 	}
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
-		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp, Version: s.Version, Era: s.Era,
+		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp, Version: s.Version, Era: s.Era, ZonesOut: s.Out.Zones,
 		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work),
 	}
 	for _, l := range loads {
@@ -113,6 +122,9 @@
 			Memory: uint32(l.Memory / 1000), AvoidMS: uint32(l.AvoidFor.Milliseconds()),
 		})
 	}
+	for _, out := range s.Out.Servers {
+		m.ServersOut = append(m.ServersOut, outMessage{Key: out.Key, Sequence: out.Sequence})
+	}
 	for _, u := range s.RetryUsage[:min(len(s.RetryUsage), maxUsages)] {
 		m.RetryUsage = append(m.RetryUsage, usageMessage{Service: uint32(u.Service), Requests: uint32(u.Requests), Retries: uint32(u.Retries)})
 	}
@@ -155,7 +167,7 @@
 	}
 	s := State{
 		Incarnation: m.Incarnation, Sequence: m.Sequence, Zone: m.Zone, Stopping: m.Stopping,
-		Members: m.Members, Requests: m.Requests, Parts: m.Parts, Stamp: m.Stamp, Version: m.Version, Era: m.Era,
+		Members: m.Members, Requests: m.Requests, Parts: m.Parts, Stamp: m.Stamp, Version: m.Version, Era: m.Era, Out: roster.OutReport{Zones: m.ZonesOut},
 		Loads: make([]dispatch.Load, 0, len(m.Loads)),
 	}
 	for _, l := range m.Loads {
@@ -168,6 +180,9 @@
 			AvoidFor: time.Duration(l.AvoidMS) * time.Millisecond,
 		})
 	}
+	for _, out := range m.ServersOut {
+		s.Out.Servers = append(s.Out.Servers, roster.ServerOut{Key: out.Key, Sequence: out.Sequence})
+	}
 	if s.Held, err = decodeHeld(m.Held); err != nil {
 		return State{}, Proof{}, err
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"berylward.example/berylward/internal/dispatch"
+	"berylward.example/berylward/internal/roster"
 )
 
 const (
@@ -88,6 +89,8 @@
 	// Version is the version of the routing table in force, and Era the era of the store from which the gateway has read
 	// last; zero when there is none.
 	Version, Era int64
+	// Out is what the gateway knows of servers and zones out of service.
+	Out roster.OutReport
 }
 
 type member struct {
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -15,6 +15,7 @@
 // entry has returned and been removed, or ReleaseZones is called, or zoneHold has passed.
 func (r *Roster) EnterEra(now time.Time, era int64) {
 	r.era = era
+	clear(r.zonesRead)
 	if len(r.servers) > 0 {
 		r.StoreRecovered(now)
 	}
@@ -54,7 +55,7 @@
 	if _, ok := r.former[s.incarnation()]; ok {
 		return false
 	}
-	r.former[s.incarnation()] = formerServer{sequence: s.Sequence, era: r.era, replaced: true}
+	r.former[s.incarnation()] = formerServer{sequence: s.Sequence, era: r.era, copied: true, replaced: true}
 	return true
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -120,7 +120,10 @@
 	former map[incarnation]formerServer
 	// zonesOut holds the zones taken out of service, and until when each stays out without an entry of the operators; zero if
 	// it has one.
-	zonesOut  map[string]time.Time
+	zonesOut map[string]time.Time
+	// zonesRead holds the zones of which this era of the store has shown an entry or its removal.
+	zonesRead map[string]bool
+	reports   reports
 	byService map[string][]*Server
 }
 
@@ -136,6 +139,8 @@
 	sequence int64
 	// era is the era of the store in which it left. Entries read in a later era may be from a copy made before.
 	era int64
+	// copied is set if a later era has shown an entry of it again.
+	copied bool
 	// replaced is set if another incarnation has an entry under the same ID. The entry of one that has ended may be the late one, so
 	// an incarnation that goes on to write returns.
 	replaced bool
@@ -147,6 +152,7 @@
 func New() *Roster {
 	return &Roster{
 		servers: map[string]*Server{}, missing: map[string]missingEntry{}, leaving: map[incarnation]time.Time{}, zonesOut: map[string]time.Time{},
+		zonesRead: map[string]bool{}, reports: reports{servers: map[uint32]reportedServer{}, zones: map[string]time.Time{}},
 		former: map[incarnation]formerServer{},
 	}
 }
@@ -196,7 +202,12 @@
 		return s.Sequence < known.Sequence
 	}
 	former, ok := r.former[s.incarnation()]
-	return ok && (s.Sequence < former.sequence || s.Sequence == former.sequence && (former.replaced || s.Era > former.era))
+	outdated := ok && (s.Sequence < former.sequence || s.Sequence == former.sequence && (former.replaced || s.Era > former.era))
+	if outdated && s.Era > former.era && !former.copied {
+		former.copied = true
+		r.former[s.incarnation()] = former
+	}
+	return outdated
 }
 
 // Remove applies the removal of an entry.
@@ -288,6 +299,7 @@
 // long time.
 func (r *Roster) Expire(now time.Time) []Change {
 	var changes []Change
+	r.expireReports(now)
 	for leaving, lastEntry := range r.leaving {
 		if s := r.servers[leaving.id]; s != nil && s.incarnation() == leaving {
 			r.leaving[leaving] = now
@@ -320,6 +332,7 @@
 // SetZoneOut records that operators took a zone out of service or put it back.
 func (r *Roster) SetZoneOut(zone string, out bool) Change {
 	_, known := r.zonesOut[zone]
+	r.zonesRead[zone] = true
 	if out {
 		r.zonesOut[zone] = time.Time{}
 	}
@@ -357,7 +370,7 @@
 		r.byService = map[string][]*Server{}
 		missing := map[string][]*Server{}
 		for _, s := range r.servers {
-			if _, out := r.zonesOut[s.Zone]; out || s.Draining || r.IsLeaving(s) {
+			if _, out := r.zonesOut[s.Zone]; out || s.Draining || r.IsLeaving(s) || r.isReportedOut(s) {
 				continue
 			}
 			if m, ok := r.missing[s.ID]; ok && !m.lost {
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -34,7 +34,7 @@
 	Version int64
 }
 
-// Unproven means that the table is missing, or that its freshness proof is too old to decide.
+// Unproven means that the table is missing, that reports of other gateways are awaited, or that its freshness proof is too old to decide.
 type Unproven struct {
 	// Age is the time since the table was proven to be the latest version; zero when there is no table.
 	Age time.Duration
@@ -55,6 +55,9 @@
 	// era is the era of the store in which revision counts. shown is the newest version that the store has shown in this era,
 	// and reported the newest one that another gateway has reported.
 	era, shown, reported int64
+	// awaiting is set while reports of other gateways are awaited; pending is the time of the latest proof meanwhile.
+	awaiting bool
+	pending  time.Time
 	// maxKeyProofAge is the age of the proof from which requests that need a caller key are no longer admitted; zero
 	// means no limit.
 	maxKeyProofAge time.Duration
@@ -80,6 +83,9 @@
 // it has applied all changes of the store up to a revision. It reports whether this proves anything, see Provable.
 func (c *CurrentTable) Prove(at time.Time, revision int64) bool {
 	c.revision = max(c.revision, revision)
+	if c.confirmed() && at.After(c.pending) {
+		c.pending = at
+	}
 	if !c.Provable() {
 		return false
 	}
@@ -91,7 +97,9 @@
 
 // EnterEra records that the store has come back from an older copy and is in another era since. The table in force stays, but
 // the store proves it only when it has shown its version or a newer one again. Revisions of earlier eras mean nothing.
-func (c *CurrentTable) EnterEra(era int64) { c.era, c.revision, c.shown = era, 0, 0 }
+func (c *CurrentTable) EnterEra(era int64) {
+	c.era, c.revision, c.shown, c.pending = era, 0, 0, time.Time{}
+}
 
 // Era returns the era of the store in which revisions count.
 func (c *CurrentTable) Era() int64 { return c.era }
@@ -100,11 +108,31 @@
 // lack that version, so that a gateway that starts reads an older one.
 func (c *CurrentTable) RecordReported(version int64) { c.reported = max(c.reported, version) }
 
+// AwaitReports makes Admit decide as without a table, in the era of a restored store, until EndAwait: a gateway that starts does
+// not know what the copy lacks before others have reported it.
+func (c *CurrentTable) AwaitReports() { c.awaiting = true }
+
+// Awaiting reports whether reports of other gateways are awaited before a request is admitted.
+func (c *CurrentTable) Awaiting() bool { return c.awaiting && c.era > 0 }
+
+// EndAwait ends AwaitReports. Proofs since then count unless a report denies them.
+func (c *CurrentTable) EndAwait() {
+	c.awaiting = false
+	if c.confirmed() && c.pending.After(c.provenAt) {
+		c.provenAt = c.pending
+	}
+}
+
 // Provable reports whether answers of the store can prove that the table in force is the latest version. They cannot while the
 // store has come back from a copy that is older than the table. In the era of a restored store, they also cannot while another
-// gateway has a newer table.
+// gateway has a newer table, or while reports are awaited.
 func (c *CurrentTable) Provable() bool {
-	return c.table == nil || c.shown >= c.table.Version && (c.era == 0 || c.reported <= c.table.Version)
+	return c.table == nil || c.confirmed() && !c.Awaiting()
+}
+
+// confirmed reports whether the store has shown the table in force in this era, and no other gateway a newer one.
+func (c *CurrentTable) confirmed() bool {
+	return c.table != nil && c.shown >= c.table.Version && (c.era == 0 || c.reported <= c.table.Version)
 }
 
 // ProveByPeer records that another gateway found a version of the table to be the latest one at a point in time, when the
@@ -140,7 +168,7 @@
 
 // Admit decides on a request with a host, a path and a caller key, which may be empty.
 func (c *CurrentTable) Admit(now time.Time, host, path, callerKey string) Admission {
-	if c.table == nil {
+	if c.table == nil || c.Awaiting() {
 		return Unproven{}
 	}
 	age := now.Sub(c.provenAt)
