soak: the store is restored from a copy

Change: the faults include a restore from a copy that is up to 1.5 s old. Table, zones and entries of backend servers are written again 1 s later. Entries count their writes.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,6 +59,7 @@
 		h.store.Compact()
 		return func() {}
 	}},
+	{"store restored from a copy", false, (*harness).restoreStore},
 	{"backend connection fault", false, func(h *harness) func() {
 		p := h.backendProxies[h.random.IntN(len(h.backendProxies))]
 		p.SetFault(h.randomConnFault())
@@ -105,8 +106,8 @@
 	}},
 	{"zone out of service", true, func(h *harness) func() {
 		z := zone(h.random.IntN(3))
-		h.store.Put(platform.ZoneKey(z), []byte("{}"))
-		return func() { h.store.Delete(platform.ZoneKey(z)) }
+		h.setZoneOut(z, true)
+		return func() { h.setZoneOut(z, false) }
 	}},
 	{"key revoked", true, func(h *harness) func() {
 		h.mu.Lock()
@@ -160,6 +161,7 @@
 			}
 		}
 		active = kept
+		h.copyStore(now)
 		next := all[h.random.IntN(len(all))]
 		length := time.Duration(h.random.Int64N(int64(maxFaultLength)))
 		h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -126,6 +126,14 @@
 	// drains of backend servers.
 	unplannedFaults []interval
 	drains          []drain
+	// What operators and backend servers have written last, which they write again after the store was restored: the routing
+	// table, zones taken out, and by backend server the sequence number and whether it drains.
+	tableValue []byte
+	zonesOut   map[string]bool
+	sequences  map[*direct.Backend]int64
+	draining   map[*direct.Backend]bool
+	// copies are the latest copies of the store.
+	copies []storeCopy
 }
 
 // interval is a time span in which an unplanned fault was active or its effects could still last.
@@ -160,6 +168,7 @@
 	h := &harness{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), clock: clock.RealClock{}, store: direct.NewStore(clock.RealClock{}),
 		revokedAt: map[string]time.Time{}, faultCounts: map[string]int{}, startedAt: map[*direct.Backend]time.Time{},
+		zonesOut: map[string]bool{}, sequences: map[*direct.Backend]int64{}, draining: map[*direct.Backend]bool{},
 	}
 	defer h.close()
 	if err := h.setUp(); err != nil {
@@ -281,13 +290,20 @@
 }
 
 func (h *harness) putEntry(b *direct.Backend, draining bool) error {
-	server := b.Server
-	server.Draining = draining
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining[b] = draining
+	return h.writeEntry(b)
+}
+
+// writeEntry writes the entry of a backend server as it is. The caller holds the lock.
+func (h *harness) writeEntry(b *direct.Backend) error {
+	server := b.Server
+	h.sequences[b]++
+	server.Draining, server.Sequence = h.draining[b], h.sequences[b]
 	if startedAt, ok := h.startedAt[b]; ok {
 		server.StartedAt = startedAt
 	}
-	h.mu.Unlock()
 	value, err := platform.EncodeServer(server, 0)
 	if err != nil {
 		return err
@@ -325,6 +341,7 @@
 	if err != nil {
 		panic(err) // Only the keys of the table vary.
 	}
+	h.tableValue = value
 	h.store.Put(platform.ConfigKey, value)
 }
 
