gateway, roster: a list that is read slowly, proofs between eras, calls while a table is lost

Cause: servers that the copy lacks were dropped at once when the first list of an era took longer than 1.7 s to read. A gateway without a limit for withdrawn keys was ready while it awaited reports. The tests with two eras did not reach the old store, because its connections were not closed.

Change: the time to write again counts from the first complete list of an era too. AdmitsKeys is false while reports are awaited.

--- a/internal/gateway/era_fleet_test.go
+++ b/internal/gateway/era_fleet_test.go
@@ -67,8 +67,12 @@
 	}
 	// The watches that wait at the store end, so that the gateways connect again.
 	f.store.SetOutage(direct.ConnClosed{})
+	time.Sleep(200 * time.Millisecond)
 	f.store.SetOutage(direct.NoOutage{})
 	time.Sleep(time.Second)
+	before := old.CallCount()
+	time.Sleep(3 * time.Second)
+	assert.Check(f.test, old.CallCount() > before, "no gateway reaches the old store")
 	fn()
 	for _, i := range gateways {
 		f.otherStore[i].Store(nil)
@@ -204,3 +208,51 @@
 		})
 	}
 }
+
+// Guards against a proof by a gateway that reaches an earlier era of the store: it knows nothing of the changes since, so a withdrawn
+// key would go on working at a gateway that is cut off from the store.
+func TestProofsBetweenEras(t *testing.T) {
+	withFleet(t, fleetOptions{gateways: 5, zones: 1, servers: 3}, func(f *fleet) {
+		time.Sleep(5 * time.Second)
+		f.store.Restore(f.store.Copy())
+		time.Sleep(2 * time.Second)
+		f.withOldStore([]int{0}, func() {
+			f.store.Restore(f.store.Copy())
+			for range 10 {
+				f.store.Put("op/other", []byte("{}"))
+			}
+			time.Sleep(3 * time.Second)
+			assert.Check(t, is.Equal(f.ready(), 5))
+			for i := 1; i < 5; i++ {
+				f.cutStore(i)
+			}
+			f.publish("new-key")
+			time.Sleep(6 * time.Second)
+			for i := 1; i < 5; i++ {
+				assert.Check(t, !f.gateways[i].Load().Ready(), "gateway %d", i)
+			}
+		})
+	})
+}
+
+// Guards against a store that is overloaded by gateways which cannot prove their table until it is published again, and ones that do not
+// notice that it is.
+func TestStoreCallsWhileTableIsLost(t *testing.T) {
+	withFleet(t, fleetOptions{gateways: 12, zones: 1, servers: 3}, func(f *fleet) {
+		time.Sleep(5 * time.Second)
+		kept := f.store.Copy()
+		f.publish("new-key")
+		time.Sleep(2 * time.Second)
+		f.store.Restore(kept)
+		time.Sleep(10 * time.Second)
+		assert.Check(t, is.Equal(f.ready(), 0))
+		before := f.store.CallCount()
+		time.Sleep(30 * time.Second)
+		rate := float64(f.store.CallCount()-before) / 30
+		assert.Check(t, rate <= 4, "%.1f calls per second", rate)
+		f.version--
+		f.publish("new-key")
+		time.Sleep(2 * time.Second)
+		assert.Check(t, is.Equal(f.ready(), 12))
+	})
+}
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -17,6 +17,7 @@
 	r.era = era
 	clear(r.zonesRead)
 	if len(r.servers) > 0 {
+		r.unlisted = true
 		r.StoreRecovered(now)
 	}
 	for zone := range r.zonesOut {
--- a/internal/roster/era_test.go
+++ b/internal/roster/era_test.go
@@ -75,6 +75,11 @@
 			r.Put(s)
 		}, "[a b c]"},
 		"missing in the copy": {nil, func(r *roster.Roster) { listed(r, b); r.Expire(start.Add(time.Second)) }, "[a b]"},
+		"missing in the copy, which is read slowly": {nil, func(r *roster.Roster) {
+			r.Put(b)
+			r.Replace(start.Add(4*time.Second), []roster.Server{b})
+			r.Expire(start.Add(5 * time.Second))
+		}, "[a b]"},
 		"missing in the copy, written again": {nil, func(r *roster.Roster) {
 			listed(r, b)
 			r.Put(copied("a", 9, nil))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -108,8 +108,9 @@
 	servers map[string]*Server
 	// missing holds the servers whose entries are missing, by ID.
 	missing map[string]missingEntry
-	// era is the era of the store.
-	era int64
+	// era is the era of the store. unlisted is set until its complete list of entries is read.
+	era      int64
+	unlisted bool
 	// Until recoveryUntil, a removed entry may be that of a live server that has not written its entry again since an
 	// outage of the store.
 	recoveryUntil time.Time
@@ -241,6 +242,11 @@
 // Replace applies the complete list of entries, which is read at the start and when the history of changes is lost, and
 // returns the changes.
 func (r *Roster) Replace(now time.Time, list []Server) []Change {
+	if r.unlisted {
+		// Reading the list may have taken long, and what was written meanwhile follows.
+		r.unlisted = false
+		r.StoreRecovered(now)
+	}
 	var changes []Change
 	present := make(map[string]bool, len(list))
 	for _, s := range list {
--- a/internal/route/current.go
+++ b/internal/route/current.go
@@ -163,7 +163,7 @@
 
 // AdmitsKeys reports whether requests that need a caller key are admitted now.
 func (c *CurrentTable) AdmitsKeys(now time.Time) bool {
-	return c.table != nil && (c.maxKeyProofAge == 0 || now.Sub(c.provenAt) < c.maxKeyProofAge)
+	return c.table != nil && !c.Awaiting() && (c.maxKeyProofAge == 0 || now.Sub(c.provenAt) < c.maxKeyProofAge)
 }
 
 // Admit decides on a request with a host, a path and a caller key, which may be empty.
--- a/internal/route/era_test.go
+++ b/internal/route/era_test.go
@@ -95,3 +95,37 @@
 		})
 	}
 }
+
+// Guards against a gateway that starts beside a restored store and admits requests by a copy before others have reported what it
+// lacks, and against one that waits although the store was never restored.
+func TestAwaitReports(t *testing.T) {
+	later := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := map[string]struct {
+		era      int64
+		reported int64
+		end      bool
+		admitted bool
+	}{
+		"store without eras": {0, 0, false, true},
+		"awaiting":           {2, 0, false, false},
+		"none reported":      {2, 0, true, true},
+		"same reported":      {2, 6, true, true},
+		"newer reported":     {2, 7, true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := route.NewCurrentTable(4500 * time.Millisecond)
+			c.AwaitReports()
+			c.EnterEra(tc.era)
+			c.Install(newTable(6))
+			c.Prove(later(100), 850)
+			c.RecordReported(tc.reported)
+			if tc.end {
+				c.EndAwait()
+			}
+			_, admitted := c.Admit(later(400), "a.example", "/x", "key").(route.Admitted)
+			assert.Equal(t, admitted, tc.admitted)
+			assert.Equal(t, c.AdmitsKeys(later(400)), tc.admitted)
+		})
+	}
+}
