--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,7 +31,6 @@
 	var failedSince time.Time
 	pause := retryMin
 	allowStale := true
-	markFirstReadDone := sync.OnceFunc(func() { close(g.firstReadDone) })
 	for ctx.Err() == nil {
 		g.mu.Lock()
 		sent := g.boot.Now()
@@ -46,7 +44,7 @@
 			updates, next, err = g.store.Read(ctx, allowStale, func(part []Update) {
 				// The part does not cover all changes up to any revision.
 				if g.apply(sent, part, 0, false) {
-					markFirstReadDone()
+					g.markFirstRead()
 				}
 			})
 		} else {
@@ -59,7 +57,7 @@
 			continue
 		}
 		if err != nil {
-			markFirstReadDone()
+			g.markFirstRead()
 			g.metrics.count("store-errors")
 			if g.store.Compacted(err) {
 				g.log.Info("store history compacted; reading all entries", "revision", revision)
@@ -88,7 +86,7 @@
 		}
 		pause = retryMin
 		applied := g.apply(sent, updates, next, full)
-		markFirstReadDone()
+		g.markFirstRead()
 		if !applied {
 			// The newest table could not be decoded, so the one in force cannot be proven. Read everything again.
 			revision, allowStale = 0, false
@@ -129,6 +127,7 @@
 	for g.sleep(expireInterval) {
 		now := g.clock.Now()
 		g.mu.Lock()
+		g.endAwait(now)
 		changes := g.roster.Expire(now)
 		g.planner.Expire(now)
 		g.mu.Unlock()
@@ -150,14 +149,20 @@
 	var zonesOut []string
 	var changes []roster.Change
 	var logCalls []func()
+	newerTable := false
 	g.mu.Lock()
-	if g.currentTable.ProofAge(g.boot.Now()) >= outageProofAge {
+	// The age of a table that the store cannot prove does not tell how long the store was unavailable.
+	if g.currentTable.Provable() && g.currentTable.ProofAge(g.boot.Now()) >= outageProofAge {
 		g.roster.StoreRecovered(now)
 	}
+	if logCall := g.enterEra(now); logCall != nil {
+		logCalls = append(logCalls, logCall)
+	}
 	for _, update := range updates {
 		switch u := update.(type) {
 		case TableUpdate:
 			if g.currentTable.Install(u.Table) {
+				newerTable = true
 				logCalls = append(logCalls, func() {
 					g.log.Info("table in force", "version", u.Table.Version, "routes", u.Table.Routes())
 				})
@@ -190,10 +195,15 @@
 		changes = append(changes, g.roster.Replace(now, servers)...)
 		changes = append(changes, g.roster.ReplaceZonesOut(zonesOut)...)
 	}
+	if newerTable {
+		changes = append(changes, g.roster.ReleaseZones()...)
+	}
 	if readable && g.currentTable.Table() != nil {
-		g.currentTable.Prove(sent, revision)
+		proven := g.currentTable.Prove(sent, revision)
 		if revision > 0 {
-			g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+			if proven {
+				g.proofs.QuerySucceeded(g.currentTable.Table().Version, revision)
+			}
 			g.watch.applied(revision)
 		}
 	}
