suspect: answers are reported in turn

Cause: a report carries the eight newest answers, and of equal age those with the lowest fingerprints. When a fleet is back, a gateway can record nine answers at the same time; the ninth was in no report of the 5 s in which it counts. The other gateways had heard that the request was on probe there, and refused it until that probe timed out. Change: the answers reported least often go first, like ends of servers. Equal ones are drawn anew for each report, so that a process that gets every second report does not always miss the same ones. Three of the four cases of TestReportedAnswers fail without the change.

--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -64,9 +64,12 @@
 	Probe       bool
 }
 
+// requestAnswer is the last complete answer to a request.
 type requestAnswer struct {
-	at  time.Time
-	own bool
+	at time.Time
+	// own is set if this process has recorded the answer itself. reports counts how often it was reported to others.
+	own     bool
+	reports int
 }
 
 type requestProbe struct {
@@ -225,7 +228,7 @@
 // clear drops the ends before an answer, and reports whether that ends the quarantine of the request.
 func (r *RequestRegistry) clear(at time.Time, f Fingerprint, own bool) bool {
 	if known, ok := r.answers[f]; !ok || at.After(known.at) {
-		r.answers[f] = requestAnswer{at, own}
+		r.answers[f] = requestAnswer{at: at, own: own}
 	}
 	lost := r.evidence.requests[f]
 	if lost == nil {
--- a/internal/suspect/request_report.go
+++ b/internal/suspect/request_report.go
@@ -1,8 +1,8 @@
 package suspect
 
 import (
-	"bytes"
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -51,15 +51,7 @@
 	r.expire(now)
 	var report RequestReport
 	report.Ends = r.reportEnds(now)
-	for f, a := range r.answers {
-		if age := now.Sub(a.at); a.own && age <= reportPeriod {
-			report.Answers = append(report.Answers, RequestAnswerReport{f, age})
-		}
-	}
-	slices.SortFunc(report.Answers, func(a, b RequestAnswerReport) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
-	})
-	report.Answers = report.Answers[:min(len(report.Answers), maxReportedAnswers)]
+	report.Answers = r.reportAnswers(now)
 	for f, p := range r.probes {
 		if p.own && len(report.Probes) < maxReportedProbes {
 			report.Probes = append(report.Probes, RequestProbeReport{f, p.ends.Sub(now)})
@@ -68,6 +60,28 @@
 	return report
 }
 
+// reportAnswers chooses the answers for a report. The order among those reported equally often is drawn anew for each report:
+// a process that gets only every second one would otherwise always miss the same answers.
+func (r *RequestRegistry) reportAnswers(now time.Time) []RequestAnswerReport {
+	var answers []RequestAnswerReport
+	for f, a := range r.answers {
+		if age := now.Sub(a.at); a.own && age <= reportPeriod {
+			answers = append(answers, RequestAnswerReport{f, age})
+		}
+	}
+	rand.Shuffle(len(answers), func(i, j int) { answers[i], answers[j] = answers[j], answers[i] })
+	slices.SortStableFunc(answers, func(a, b RequestAnswerReport) int {
+		return cmp.Compare(r.answers[a.Fingerprint].reports, r.answers[b.Fingerprint].reports)
+	})
+	answers = answers[:min(len(answers), maxReportedAnswers)]
+	for _, a := range answers {
+		known := r.answers[a.Fingerprint]
+		known.reports++
+		r.answers[a.Fingerprint] = known
+	}
+	return answers
+}
+
 // suspectEnd is an end with the request that it concerns.
 type suspectEnd struct {
 	fingerprint Fingerprint
--- a/internal/suspect/request_test.go
+++ b/internal/suspect/request_test.go
@@ -220,6 +220,52 @@
 	}
 }
 
+// Guards against an answer that other processes never learn of because more were recorded at the same time than fit into a report.
+// They would refuse the request, which was released here, until the probe that they were told of has timed out.
+func TestReportedAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answers, reports int
+		heard            int // the other process gets one report of so many
+	}{
+		"as many as fit":                      {maxReportedAnswers, 1, 1},
+		"one more, the last by fingerprint":   {maxReportedAnswers + 1, 2, 1},
+		"twice as many, every second is lost": {2 * maxReportedAnswers, 80, 2},
+		"a hundred":                           {100, 13, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := NewRequestRegistry(uuid.UUID{1}), NewRequestRegistry(uuid.UUID{2})
+			for i := range tc.answers {
+				for server := ServerKey(1); server <= 3; server++ {
+					for _, r := range []*RequestRegistry{a, b} {
+						r.RecordEnd(start, server, ended(0, server, byte(i)).requests...)
+					}
+				}
+			}
+			last := Fingerprint{byte(tc.answers - 1)}
+			now := start.Add(time.Second)
+			assert.DeepEqual(t, a.Check(now, 0, last), RequestState(RequestProbe{}))
+			b.Merge(now, a.Report(now)) // b learns of the probe
+			now = now.Add(80 * time.Millisecond)
+			for i := range tc.answers {
+				a.RecordAnswer(now, Fingerprint{byte(i)})
+			}
+			for i := range tc.reports {
+				now = now.Add(60 * time.Millisecond)
+				report := a.Report(now)
+				assert.Assert(t, len(report.Answers) <= maxReportedAnswers)
+				if i%tc.heard == 0 {
+					b.Merge(now, report)
+				}
+			}
+			for i := range tc.answers {
+				assert.Check(t, !b.Quarantined(now, Fingerprint{byte(i)}), "answer %d of %d", i, tc.answers)
+			}
+			assert.DeepEqual(t, b.Check(now, 0, last), RequestState(RequestUsable{}))
+		})
+	}
+}
+
 // Guards against a process that has just started, or was cut off, and sends a quarantined request for minutes because the reports of
 // the others go through many ends that matter less.
 func TestLateRequestRegistry(t *testing.T) {
