dispatch, peering, gateway: workspaces of one rank get fair parts of the engines' time

Cause: held long prompts of one rank are ordered by length and arrival; one workspace that sends ten times its usual load takes the room of the others. Change: for services whose requests are ranked, the workspace that has got the least engine time lately goes first; gateways tell this time in the datagram; a return after a pause is bounded by a credit; prompts of a workspace that demands far more than the others are not sent before their turn; counts by workspace in expvar and status.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -311,6 +311,10 @@
 	}
 	t.row("callers", "%d connections of %s, %d at most so far", st.CallerConnections.Open, limitOrNone(int64(st.CallerConnections.Limit)), st.CallerConnections.Peak)
 	t.row("held long prompts", "%d at all gateways, %d ms of prefill", st.HeldLong, st.HeldPrefill)
+	for _, name := range slices.Sorted(maps.Keys(st.Workspaces)) {
+		w := st.Workspaces[name]
+		t.row("", "workspace %q: %d answered, %d refused, %d held for %d ms in all", name, w.Answered, w.Refused, w.Held, w.HeldMS)
+	}
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
 	for _, f := range slices.Sorted(maps.Keys(st.QuarantinedRequests)) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	// service are not ranked.
 	Rank  route.Rank
 	Ranks route.RankRange
+	// Workspace is the WorkspaceKey of the workspace. It has no effect if the requests for the service are not ranked.
+	Workspace Key
 }
 
 // PrefillTime returns the time that one engine needs to prefill the prompt alone.
@@ -296,6 +298,7 @@
 			p.queue.recordAdmission(now, profile)
 		}
 		p.queue.ownWorkOf(now, profile.workKey()).sent.Add(profile.PrefillTime(), profile.PrefillTime())
+		p.queue.recordWorkspaceSend(now, profile)
 	} else if r.urgent {
 		p.queue.running[profile.workKey()]++
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -18,6 +18,8 @@
 	Service Key
 	// Rank is the urgency of the prompt. It is 0 if the requests for the service are not ranked.
 	Rank route.Rank
+	// Workspace is the key of the workspace; 0 if the requests for the service are not ranked.
+	Workspace Key
 	// Waited is the time since the request arrived, Prefill the prefill time of the prompt on one engine.
 	Waited, Prefill time.Duration
 }
@@ -47,8 +49,10 @@
 	// running counts the short prompts that this gateway has sent and that have not ended, if others for their service are less
 	// urgent.
 	running map[workKey]int
-	peers   map[string]peerQueue
-	changed bool
+	// workspaces is the engine time that workspaces have got, for services whose requests are ranked.
+	workspaces map[workspaceKey]*ownWorkspace
+	peers      map[string]peerQueue
+	changed    bool
 }
 
 // workKey identifies the requests of one priority for a service.
@@ -70,6 +74,7 @@
 type heldPrompt struct {
 	service   Key
 	rank      route.Rank
+	workspace Key
 	arrivedAt time.Time
 	prefill   time.Duration
 }
@@ -82,13 +87,17 @@
 
 // peerQueue is the last report of another gateway.
 type peerQueue struct {
-	held    []heldPrompt
-	work    []LongWork
-	running []RunningShort
+	held       []heldPrompt
+	work       []LongWork
+	running    []RunningShort
+	workspaces []WorkspaceTime
 }
 
 func newLongQueue() longQueue {
-	return longQueue{held: map[HoldID]heldPrompt{}, work: map[workKey]*ownWork{}, running: map[workKey]int{}, peers: map[string]peerQueue{}}
+	return longQueue{
+		held: map[HoldID]heldPrompt{}, work: map[workKey]*ownWork{}, running: map[workKey]int{},
+		workspaces: map[workspaceKey]*ownWorkspace{}, peers: map[string]peerQueue{},
+	}
 }
 
 // forget reduces the work by the time that has passed.
@@ -125,7 +134,10 @@
 		id = p.queue.lastID
 		p.queue.recordAdmission(now, profile)
 	}
-	held := heldPrompt{service: profile.Service, rank: profile.rank(), arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime()}
+	held := heldPrompt{
+		service: profile.Service, rank: profile.rank(), workspace: profile.workspace(), arrivedAt: profile.arrivedAt(),
+		prefill: profile.PrefillTime(),
+	}
 	p.queue.changed = p.queue.changed || p.queue.held[id] != held
 	p.queue.held[id] = held
 	return id
@@ -135,6 +147,7 @@
 // nothing for others.
 func (q *longQueue) recordAdmission(now time.Time, profile RequestProfile) {
 	q.ownWorkOf(now, profile.workKey()).admitted.Add(profile.PrefillTime(), profile.PrefillTime())
+	q.recordReturn(now, profile)
 }
 
 // EndHold records that a held request has been sent or has ended.
@@ -151,6 +164,8 @@
 	Work []LongWork
 	// Running are the short prompts for services whose requests have different priorities.
 	Running []RunningShort
+	// Workspaces are those that have got the most engine time, for services whose requests are ranked.
+	Workspaces []WorkspaceTime
 }
 
 // minReportedWork is the work below which a service is dropped.
@@ -160,7 +175,9 @@
 func (p *Planner) Queue(now time.Time) QueueReport {
 	report := QueueReport{Held: make([]HeldPrompt, 0, len(p.queue.held)), Work: make([]LongWork, 0, len(p.queue.work))}
 	for _, h := range p.queue.held {
-		report.Held = append(report.Held, HeldPrompt{Service: h.service, Rank: h.rank, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill})
+		report.Held = append(report.Held, HeldPrompt{
+			Service: h.service, Rank: h.rank, Workspace: h.workspace, Waited: now.Sub(h.arrivedAt), Prefill: h.prefill,
+		})
 	}
 	for key, w := range p.queue.work {
 		w.forget(now)
@@ -171,15 +188,17 @@
 		}
 		report.Work = append(report.Work, LongWork{Service: key.service, Rank: key.rank, Admitted: w.admitted, Sent: w.sent, Pending: pending})
 	}
-	report.Running = p.queue.runningShort()
+	report.Running, report.Workspaces = p.queue.runningShort(), p.queue.workspaceReport(now)
 	return report
 }
 
 // SetPeerQueue replaces the report of another gateway. It counts as long as the loads that the gateway has reported.
 func (p *Planner) SetPeerQueue(now time.Time, gateway string, report QueueReport) {
-	q := peerQueue{work: report.Work, running: report.Running}
+	q := peerQueue{work: report.Work, running: report.Running, workspaces: report.Workspaces}
 	for _, h := range report.Held {
-		q.held = append(q.held, heldPrompt{service: h.Service, rank: h.Rank, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill})
+		q.held = append(q.held, heldPrompt{
+			service: h.Service, rank: h.Rank, workspace: h.Workspace, arrivedAt: now.Add(-h.Waited), prefill: h.Prefill,
+		})
 	}
 	p.queue.peers[gateway] = q
 }
@@ -218,10 +237,12 @@
 
 // heldFor returns a prompt and the others for its service that all gateways hold.
 func (q *longQueue) heldFor(profile RequestProfile) []queuedPrompt {
-	queued := []queuedPrompt{{arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(), rank: profile.rank(), own: true}}
+	queued := []queuedPrompt{{
+		arrivedAt: profile.arrivedAt(), prefill: profile.PrefillTime(), rank: profile.rank(), workspace: profile.workspace(), own: true,
+	}}
 	add := func(h heldPrompt) {
 		if h.service == profile.Service {
-			queued = append(queued, queuedPrompt{arrivedAt: h.arrivedAt, prefill: h.prefill, rank: h.rank})
+			queued = append(queued, queuedPrompt{arrivedAt: h.arrivedAt, prefill: h.prefill, rank: h.rank, workspace: h.workspace})
 		}
 	}
 	for id, h := range q.held {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -28,6 +28,9 @@
 	ahead, allowed time.Duration
 	// wait is the predicted time until then.
 	wait time.Duration
+	// behind is set if prompts of other workspaces go first and the workspace demands far more than these. The prompt is then not
+	// sent before its turn.
+	behind bool
 }
 
 // due reports whether the prompt may be sent.
@@ -46,6 +49,10 @@
 	// service is the prefill of prompts of its length that has been sent or goes first, this one included, as a share of what
 	// was admitted.
 	service float64
+	// workspace is 0, and got too, if the requests for the service are not ranked; got is the engine time that the workspace will
+	// have got lately when the prompt is sent.
+	workspace Key
+	got       time.Duration
 }
 
 // turn returns the turn of a long prompt at a number of engines.
@@ -69,15 +76,23 @@
 	queued := p.queue.heldFor(profile)
 	var older PrefillByLength
 	own := sortByService(queued, work)
+	var uses map[Key]workspaceUse
+	if profile.Ranks.Ranked() {
+		uses = p.queue.workspaceUses(now, profile.workKey())
+		addHeld(uses, queued, own.rank)
+		own.got = sortByWorkspace(queued, uses, own.rank)
+	}
 	t := turn{ahead: work.Pending, allowed: time.Duration(engines) * profile.sendAhead()}
+	excessive := demandsExcessively(uses, own)
 	for _, q := range queued {
 		switch {
 		case q.own:
 			continue
 		case goesFirst(q, own):
 			t.ahead += q.prefill
+			t.behind = t.behind || excessive && q.rank == own.rank && q.workspace != own.workspace
 		}
-		if q.rank == own.rank && q.arrivedAt.Before(own.arrivedAt) {
+		if q.rank == own.rank && q.workspace == own.workspace && q.arrivedAt.Before(own.arrivedAt) {
 			older.Add(q.prefill, q.prefill)
 		}
 		if q.rank < own.rank {
@@ -89,6 +104,12 @@
 		if profile.urgent() {
 			left = max(left-urgent.engines, minEnginesLeft)
 		}
+		if profile.Ranks.Ranked() {
+			older.scale(1 / workspacePart(uses, own.workspace, left)) // The others get their parts meanwhile.
+			if excessive {
+				older.scale(excessiveWait)
+			}
+		}
 		t.wait = max(scale(t.ahead-t.allowed, 1/left), loadedWait(prefill, work, older, t.allowed, left))
 	}
 	return t
@@ -115,11 +136,15 @@
 	return own
 }
 
-// goesFirst reports whether a queued prompt is sent before another one.
+// goesFirst reports whether a queued prompt is sent before another one. Of one priority, the workspace that has got the least engine
+// time goes first.
 func goesFirst(q, other queuedPrompt) bool {
 	if q.rank != other.rank {
 		return q.rank < other.rank
 	}
+	if q.got != other.got {
+		return q.got < other.got
+	}
 	return q.service < other.service || q.service == other.service && q.arrivedAt.Before(other.arrivedAt)
 }
 
@@ -141,7 +166,8 @@
 // expected is the predicted time to its first event if it is sent now.
 //
 // A prompt that has just arrived is refused if it would probably not be done before its deadline. One that is held keeps its
-// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out.
+// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out, unless it is behind
+// prompts of other workspaces.
 func awaitTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, expected time.Duration) (Placement, bool) {
 	needed := expected
 	if !t.due() && profile.HoldID == 0 {
@@ -151,7 +177,7 @@
 	switch {
 	case needed > left:
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(needed-left, minOverloadedRetry)}, true
-	case t.due(), expected+deadlineMargin > left:
+	case t.due(), expected+deadlineMargin > left && !t.behind:
 		return nil, false
 	}
 	return hold(HoldTurn, candidates, expected), true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,17 +27,19 @@
 type metrics struct {
 	counters   *expvar.Map
 	prompts    *promptMetrics
+	workspaces *workspaceMetrics
 	mu         sync.Mutex
 	histograms *simplelru.LRU[string, *hdrhistogram.Histogram]
 }
 
 func newMetrics(m *telemetry.Metrics) *metrics {
 	// Each route has a histogram of whole answers and one of first bytes.
-	out := &metrics{counters: new(expvar.Map), histograms: newLRU[*hdrhistogram.Histogram](2 * maxRouteMetrics), prompts: newPromptMetrics()}
+	out := &metrics{counters: new(expvar.Map), histograms: newLRU[*hdrhistogram.Histogram](2 * maxRouteMetrics), prompts: newPromptMetrics(), workspaces: newWorkspaceMetrics()}
 	if m != nil {
 		out.counters = m.Slice("gateway")
 		m.Publish("gateway-latency-ms", func() any { return out.latencies() })
 		m.Publish("gateway-prompts", func() any { return out.prompts.counters() })
+		m.Publish("gateway-workspaces", func() any { return out.workspaces.counts() })
 	}
 	return out
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,7 +53,7 @@
 			}
 		}
 		g.planner.SetPeerLoads(now, from.String(), s.Loads)
-		g.planner.SetPeerQueue(now, from.String(), dispatch.QueueReport{Held: s.Held, Work: s.Work, Running: s.Running})
+		g.planner.SetPeerQueue(now, from.String(), dispatch.QueueReport{Held: s.Held, Work: s.Work, Running: s.Running, Workspaces: s.Workspaces})
 		g.retries.SetPeerUsage(now, from.String(), s.RetryUsage)
 		g.updateGroupSize(now)
 		g.mergePartReport(now, s.Parts)
@@ -125,7 +125,7 @@
 		RetryUsage: g.retries.LocalUsage(now), Stamp: uint64(g.boot.Now().UnixMilli()),
 	}
 	queue := g.planner.Queue(now)
-	s.Held, s.Work, s.Running = queue.Held, queue.Work, queue.Running
+	s.Held, s.Work, s.Running, s.Workspaces = queue.Held, queue.Work, queue.Running, queue.Workspaces
 	requests, err := suspect.EncodeRequestReport(g.requests.Report(now))
 	if err != nil {
 		g.log.Error(err, "report about requests not sent")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -285,6 +285,9 @@
 	q.gateway.metrics.observe(q.admitted.Route.Name, elapsed)
 	if q.profile.Prompt > 0 {
 		q.gateway.metrics.prompts.record(q.admitted.Route.Name, q.profile.Prompt, q.outcome, q.heldTime)
+		if q.profile.Ranks.Ranked() {
+			q.gateway.metrics.workspaces.record(q.current.Workspace, q.outcome, q.heldTime)
+		}
 	}
 	q.gateway.log.Info("request ended", "request", q.req.ID, "outcome", q.outcome, "route", q.admitted.Route.Name,
 		"workspace", q.current.Workspace, "rank", q.profile.Rank, "table", q.current.Version, "sends", q.sends, "first-ms", q.firstByte.Milliseconds(),
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -26,6 +26,7 @@
 	q.profile.Engine, q.profile.Prompt, q.profile.Answer = nil, 0, 0
 	table := g.currentTable.Table()
 	q.profile.Rank, q.profile.Ranks = table.Rank(q.current.Route, q.current.Workspace), table.Ranks(service)
+	q.profile.Workspace = dispatch.WorkspaceKey(q.current.Workspace)
 	s := table.Service(service)
 	if s == nil {
 		return
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -32,6 +32,8 @@
 	HeldPrefill int64 `json:"held-prefill-ms"`
 	// Prompts is by route how many prompts of different lengths this gateway has answered since its start.
 	Prompts map[string]lengths.Shares `json:"prompts,omitempty"`
+	// Workspaces counts by workspace the prompts for services whose requests are ranked, since the start of this gateway.
+	Workspaces map[string]WorkspacePrompts `json:"workspaces,omitempty"`
 	// QuarantinedRequests holds by fingerprint for how many milliseconds the request is not sent.
 	QuarantinedRequests map[string]int64 `json:"quarantined-requests-ms,omitempty"`
 	// QuarantinedParts holds by prompt part for how many milliseconds no request with it is sent.
@@ -47,7 +49,7 @@
 func (g *Gateway) Status() Status {
 	s := Status{
 		Role: "gateway", Instance: g.Instance, Zone: g.Zone, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
-		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(),
+		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(), Workspaces: g.metrics.workspaces.counts(),
 		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -35,6 +35,8 @@
 const (
 	// maxLoads keeps a datagram below about 1,400 bytes, so that networks do not fragment it.
 	maxLoads = 48
+	// maxLoadsRanked takes the place of maxLoads in a datagram that holds the engine time of workspaces.
+	maxLoadsRanked = 35
 	// maxUsages limits the number of services whose retry usage a datagram holds.
 	maxUsages = 16
 	// maxCount and maxMilliseconds limit the numbers accepted in a received datagram.
@@ -93,18 +95,21 @@
 // Encode returns the first part of a datagram, which holds the state. If there are more loads than fit, it keeps the
 // largest.
 func Encode(s State) ([]byte, error) {
-	loads := s.Loads
-	if len(loads) > maxLoads {
+	loads, limit := s.Loads, maxLoads
+	if len(s.Workspaces) > 0 {
+		limit = maxLoadsRanked
+	}
+	if len(loads) > limit {
 		loads = slices.Clone(loads)
 		slices.SortFunc(loads, func(a, b dispatch.Load) int {
 			return cmp.Or(cmp.Compare(b.PendingPrefill, a.PendingPrefill), cmp.Compare(b.Short+b.Long, a.Short+a.Long))
 		})
-		loads = loads[:maxLoads]
+		loads = loads[:limit]
 	}
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
-		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work), Running: encodeRunning(s.Running),
+		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work, s.Workspaces), Running: encodeRunning(s.Running),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
@@ -175,6 +180,9 @@
 	if s.Running, err = decodeRunning(m.Running); err != nil {
 		return State{}, Proof{}, err
 	}
+	if s.Workspaces, err = decodeWorkspaces(m.Work); err != nil {
+		return State{}, Proof{}, err
+	}
 	for _, u := range m.RetryUsage {
 		if u.Requests > maxCount || u.Retries > maxCount {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("retry usage out of range")}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -77,6 +77,8 @@
 	Work []dispatch.LongWork
 	// Running are the short prompts that the gateway has sent, for services whose requests have different priorities.
 	Running []dispatch.RunningShort
+	// Workspaces are those that have got the most engine time, for services whose requests have different priorities.
+	Workspaces []dispatch.WorkspaceTime
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// Requests is what the gateway knows of requests that were running when backend servers ended, in the encoding of package
--- a/internal/peering/queue_messages.go
+++ b/internal/peering/queue_messages.go
@@ -27,6 +27,7 @@
 	WaitedMS  uint32
 	PrefillMS uint32
 	Rank      uint16
+	Workspace uint32
 }
 
 type workMessage struct {
@@ -36,6 +37,7 @@
 	// Admitted and Sent are in units of workUnit.
 	Admitted, Sent [dispatch.LengthClasses]uint32
 	Rank           uint16
+	Workspaces     []workspaceMessage
 }
 
 type runningMessage struct {
@@ -77,22 +79,26 @@
 	}
 	messages := make([]heldMessage, 0, len(held))
 	for _, h := range held {
-		messages = append(messages, heldMessage{Service: uint32(h.Service), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill), Rank: uint16(h.Rank)})
+		messages = append(messages, heldMessage{
+			Service: uint32(h.Service), WaitedMS: milliseconds(h.Waited), PrefillMS: milliseconds(h.Prefill), Rank: uint16(h.Rank),
+			Workspace: uint32(h.Workspace),
+		})
 	}
 	return messages
 }
 
 // encodeWork returns the messages for the work of services. If there are more services than fit, it keeps those with the
 // most.
-func encodeWork(work []dispatch.LongWork) []workMessage {
+func encodeWork(work []dispatch.LongWork, times []dispatch.WorkspaceTime) []workMessage {
 	if len(work) > maxWork {
 		work = slices.Clone(work)
 		slices.SortFunc(work, func(a, b dispatch.LongWork) int { return cmp.Compare(b.Admitted.Total(), a.Admitted.Total()) })
 		work = work[:maxWork]
 	}
 	messages := make([]workMessage, 0, len(work))
+	times = times[:min(len(times), maxWorkspaces)]
 	for _, w := range work {
-		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending), Rank: uint16(w.Rank)}
+		m := workMessage{Service: uint32(w.Service), PendingMS: milliseconds(w.Pending), Rank: uint16(w.Rank), Workspaces: encodeWorkspaces(w, times)}
 		for c := range dispatch.LengthClasses {
 			m.Admitted[c], m.Sent[c] = workUnits(w.Admitted[c]), workUnits(w.Sent[c])
 		}
@@ -121,7 +127,7 @@
 			return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("held prompt out of range")}
 		}
 		held = append(held, dispatch.HeldPrompt{
-			Service: dispatch.Key(h.Service), Rank: route.Rank(h.Rank), Waited: time.Duration(h.WaitedMS) * time.Millisecond, Prefill: time.Duration(h.PrefillMS) * time.Millisecond,
+			Service: dispatch.Key(h.Service), Rank: route.Rank(h.Rank), Workspace: dispatch.Key(h.Workspace), Waited: time.Duration(h.WaitedMS) * time.Millisecond, Prefill: time.Duration(h.PrefillMS) * time.Millisecond,
 		})
 	}
 	return held, nil
