dispatch: tests of a workspace that returns and of one whose time runs out

Cause: mutants of the order of workspaces passed the tests. Change: cases for the credit, for the wait by the own backlog and for a prompt of a workspace that demands far more. Result: the cases pass on the code and fail without the credit, with older prompts of other workspaces in the wait, and with sends before the turn. Not caught: a mutant that raises the time of a workspace also while it has held prompts.

--- a/internal/dispatch/workspace_test.go
+++ b/internal/dispatch/workspace_test.go
@@ -135,30 +135,34 @@
 func TestReturnOfIdleWorkspace(t *testing.T) {
 	const held = 40
 	for name, tc := range map[string]struct {
-		got      time.Duration // by the other workspace
-		longWait bool
+		got time.Duration // by the other workspace
 	}{
 		"the other one has got most of the engines": {got: 100 * time.Second},
 		"the other one has got little":              {got: 5 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, servers := dispatch.NewPlanner("z-0"), newServers(12)
+			prefill := rankedLong(1, 45_000).PrefillTime()
 			report(p, start, dispatch.QueueReport{
-				Held:       []dispatch.HeldPrompt{{Service: 1, Rank: 1, Workspace: 2, Waited: time.Second, Prefill: 2 * time.Second}},
+				Held:       []dispatch.HeldPrompt{{Service: 1, Rank: 1, Workspace: 2, Waited: time.Second, Prefill: prefill}},
 				Work:       []dispatch.LongWork{{Service: 1, Rank: 1, Pending: 10 * time.Second}},
 				Workspaces: []dispatch.WorkspaceTime{{Service: 1, Rank: 1, Workspace: 2, Sent: tc.got}},
 			})
-			for range held {
-				returned := rankedLong(1, 45_000)
-				p.RecordHold(start, returned, dispatch.Hold{Reason: dispatch.HoldTurn})
+			first := rankedLong(1, 45_000)
+			first.HoldID = p.RecordHold(start, first, dispatch.Hold{Reason: dispatch.HoldTurn})
+			d, ok := p.Place(start, first, servers, nil).(dispatch.Hold)
+			assert.Assert(t, ok)
+			assert.Equal(t, d.Queue.Ahead, 10*time.Second, "the credit lets the first prompt of the workspace that returns go before the one that waits")
+			for range held - 1 {
+				p.RecordHold(start, rankedLong(1, 45_000), dispatch.Hold{Reason: dispatch.HoldTurn})
 			}
 			steady := rankedLong(2, 45_000)
-			d, ok := p.Place(start, steady, servers, nil).(dispatch.Hold)
+			d, ok = p.Place(start, steady, servers, nil).(dispatch.Hold)
 			assert.Assert(t, ok)
 			backlog := held * steady.PrefillTime()
 			// What both hold, as far as the engine time of the two is even, and the credit of the one that returns.
 			credit := tc.got / 20
-			most := 10*time.Second + 2*time.Second + min(backlog, credit+2*time.Second) + steady.PrefillTime()
+			most := 10*time.Second + prefill + min(backlog, credit+2*prefill) + prefill
 			assert.Check(t, d.Queue.Ahead <= most, "%v ahead of it, at most %v of them due, backlog of the returned workspace %v", d.Queue.Ahead, most, backlog)
 		})
 	}
@@ -175,16 +179,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := dispatch.NewPlanner("z-0")
+			profile := rankedLong(tc.workspace, 100_000)
+			prefill := profile.PrefillTime()
 			r := dispatch.QueueReport{Workspaces: []dispatch.WorkspaceTime{{Service: 1, Rank: 1, Workspace: 2, Sent: 100 * time.Second}}}
 			work := dispatch.LongWork{Service: 1, Rank: 1, Pending: 8 * time.Second}
-			for range 120 {
-				r.Held = append(r.Held, dispatch.HeldPrompt{Service: 1, Rank: 1, Workspace: 2, Waited: time.Second, Prefill: 2 * time.Second})
+			for range int(240 * time.Second / prefill) {
+				r.Held = append(r.Held, dispatch.HeldPrompt{Service: 1, Rank: 1, Workspace: 2, Waited: time.Second, Prefill: prefill})
 			}
-			work.Admitted.Add(2*time.Second, 300*time.Second)
-			work.Sent.Add(2*time.Second, 100*time.Second)
+			work.Admitted.Add(prefill, 300*time.Second)
+			work.Sent.Add(prefill, 100*time.Second)
 			r.Work = []dispatch.LongWork{work}
 			report(p, start, r)
-			placement := p.Place(start, rankedLong(tc.workspace, 50_000), newServers(12), nil)
+			placement := p.Place(start, profile, newServers(12), nil)
 			d, refused := placement.(dispatch.NoPlacement)
 			assert.Equal(t, refused, tc.refused, "%+v", placement)
 			if refused {
@@ -193,3 +199,29 @@
 		})
 	}
 }
+
+// Guards against a workspace with a long backlog whose prompts are sent before those of others because their time runs out.
+func TestTimeOfExcessiveWorkspaceRunsOut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		got  time.Duration
+		sent bool
+	}{
+		"workspace that demands as much as the other": {got: 20 * time.Second, sent: true},
+		"workspace that demands far more":             {got: 200 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := dispatch.NewPlanner("z-0")
+			profile := rankedLong(2, 45_000)
+			profile.HoldID = p.RecordHold(start, profile, dispatch.Hold{Reason: dispatch.HoldTurn})
+			now := profile.Deadline.Add(-900 * time.Millisecond)
+			report(p, now, dispatch.QueueReport{
+				Held: []dispatch.HeldPrompt{{Service: 1, Rank: 1, Workspace: 1, Prefill: 10 * time.Second}},
+				Workspaces: []dispatch.WorkspaceTime{
+					{Service: 1, Rank: 1, Workspace: 2, Sent: tc.got}, {Service: 1, Rank: 1, Workspace: 1, Sent: 10 * time.Second},
+				},
+			})
+			_, held := p.Place(now, profile, newServers(12), nil).(dispatch.Hold)
+			assert.Equal(t, !held, tc.sent)
+		})
+	}
+}
