--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -325,6 +325,10 @@
 			key, f.Count, f.Measured.P50, f.Measured.P90, f.Predicted.P50, f.Predicted.P90, f.Late, f.Distance.P50, f.Distance.P90)
 	}
 	t.row("memory at engines", "reserved for %d prompts", st.Reserving)
+	for _, name := range slices.Sorted(maps.Keys(st.Workspaces)) {
+		w := st.Workspaces[name]
+		t.row("", "workspace %q: %d answered, %d refused, %d held for %d ms in all", name, w.Answered, w.Refused, w.Held, w.HeldMS)
+	}
 	t.bodyRow("request bodies", st.RequestBodies)
 	t.bodyRow("response bodies", st.ResponseBodies)
 	if st.Panics > 0 {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -49,6 +49,8 @@
 	// goroutines panicked since the start.
 	Reserving int64 `json:"reserving"`
 	Panics    int64 `json:"panics"`
+	// Workspaces counts by workspace the prompts for services whose requests are ranked, since the start of this gateway.
+	Workspaces map[string]WorkspacePrompts `json:"workspaces,omitempty"`
 	// QuarantinedRequests holds by fingerprint for how many milliseconds the request is not sent.
 	QuarantinedRequests map[string]int64 `json:"quarantined-requests-ms,omitempty"`
 	// QuarantinedParts holds by prompt part for how many milliseconds no request with it is sent.
@@ -65,7 +67,7 @@
 	s := Status{
 		Role: "gateway", Instance: g.Instance, Zone: g.Zone, Ready: g.Ready(), Stopping: g.shutdown.hasBegun(), Running: g.active.Load(),
 		Connections: g.pool.ConnectionsOpened(), Prompts: g.metrics.prompts.shares(), Forecasts: g.metrics.forecasts.accuracy(),
-		Reserving: g.reserving.Load(), Panics: g.metrics.value("request-panics"),
+		Reserving: g.reserving.Load(), Panics: g.metrics.value("request-panics"), Workspaces: g.metrics.workspaces.counts(),
 		CallerConnections: g.conns.Usage(), RequestBodies: g.requestBodies.Usage(), ResponseBodies: g.responseBodies.Usage(),
 	}
 	g.mu.Lock()
