worker: windows shared by several processes, and evidence of speed

A gateway sends to servers that others send to as well, and counts each of them as equally fast and warm. SharedWindow limits what all gateways together have in flight at a server that has just started or whose answers have stopped; its copies agree by reports of cumulative growth. It and Window share the size that grows with completed work. Speed and Calibration turn times of answers into how much slower than predicted a server is.

--- a/internal/worker/window.go
+++ b/internal/worker/window.go
@@ -1,6 +1,7 @@
-// Package worker holds the state of one backend server: the window, which limits the work in flight, and the lifecycle,
-// which records whether the server is starting, serving, draining, down or stopped. Each value is used by one
-// goroutine, its owner; the package reads no clock.
+// Package worker holds the state of one backend server: the window, which limits the work in flight, the lifecycle,
+// which records whether the server is starting, serving, draining, down or stopped, and its speed compared with what is
+// predicted. A Window belongs to a process that alone sends work to the server, a SharedWindow to one of several that do.
+// Each value is used by one goroutine, its owner; the package reads no clock.
 package worker
 
 import (
@@ -63,16 +64,13 @@
 // Window limits the tokens and requests in flight at one backend server. It grows with completed work from the cold
 // to the warm limits, and is reset when the engine restarts or becomes slow.
 type Window struct {
-	cold, warm, limits Limits
-	reportedLimits     Limits
-	warmPrefillRate    float64
-	// growthFraction is the fraction of completed work by which the window grows. requestCredit accumulates
-	// fractions of a request until they add up to a whole one.
-	growthFraction, requestCredit float64
-	slowReports                   int
-	incarnation                   string
-	inFlight                      map[answer.ID]int64
-	inFlightTokens                int64
+	size
+	reportedLimits  Limits
+	warmPrefillRate float64
+	slowReports     int
+	incarnation     string
+	inFlight        map[answer.ID]int64
+	inFlightTokens  int64
 }
 
 // Option configures a Window.
@@ -97,10 +95,7 @@
 // SetLimits changes the cold and warm limits. The window keeps its current size within the new bounds. Work in
 // flight is never cut: if it exceeds the window, no new request is allowed until enough of them have ended.
 func (w *Window) SetLimits(cold, warm Limits, opts ...Option) {
-	warm = Limits{Tokens: max(warm.Tokens, cold.Tokens), Requests: max(warm.Requests, cold.Requests)}
-	w.cold, w.warm = cold, warm
-	w.limits.Tokens = min(max(w.limits.Tokens, cold.Tokens), warm.Tokens)
-	w.limits.Requests = min(max(w.limits.Requests, cold.Requests), warm.Requests)
+	w.setBounds(cold, warm)
 	for _, o := range opts {
 		o(w)
 	}
@@ -108,8 +103,7 @@
 
 // NewWindow returns a window that starts at cold and grows up to warm.
 func NewWindow(cold, warm Limits, opts ...Option) *Window {
-	warm = Limits{Tokens: max(warm.Tokens, cold.Tokens), Requests: max(warm.Requests, cold.Requests)}
-	w := &Window{cold: cold, warm: warm, limits: cold, reportedLimits: cold, growthFraction: 1, inFlight: make(map[answer.ID]int64)}
+	w := &Window{size: newSize(cold, warm), reportedLimits: cold, inFlight: make(map[answer.ID]int64)}
 	for _, o := range opts {
 		o(w)
 	}
@@ -146,14 +140,10 @@
 	if !ok {
 		return
 	}
-	halfUsed := 2*w.inFlightTokens >= w.limits.Tokens || 2*len(w.inFlight) >= w.limits.Requests
+	halfUsed := w.halfUsed(w.InFlight())
 	w.Abandoned(id)
 	if halfUsed && w.slowReports == 0 {
-		w.limits.Tokens = min(w.limits.Tokens+int64(float64(tokens)*w.growthFraction), w.warm.Tokens)
-		w.requestCredit += w.growthFraction
-		whole := int(w.requestCredit)
-		w.requestCredit -= float64(whole)
-		w.limits.Requests = min(w.limits.Requests+whole, w.warm.Requests)
+		w.grow(tokens)
 	}
 }
 
