dispatch: pace of backend servers, learned from answers

Each server counted as equally fast and warm. With WithPace the planner compares first events, pauses and answers of plain servers with what is predicted, relative to the median of the service, and counts a server as slow when the evidence of all gateways shows it. A server that has just started, or whose answers have stopped, has a window of requests in flight of all gateways, and gateways draw who sends next. Without WithPace nothing changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -93,6 +93,7 @@
 	reserved    bool
 	short       bool
 	prefillDone bool
+	pace        placedPace
 }
 
 // parts returns the number of parts in which the prompt is prefilled.
@@ -113,6 +114,8 @@
 	// busyUntil is when the backend server, which refused a request and stated for how long, may get requests again.
 	// Unlike avoidUntil it is a hard limit.
 	busyUntil time.Time
+	// pace is nil as long as the server has not been a candidate, and when its pace is not followed.
+	pace *serverPace
 	// left is set while the backend server is not known to be in service. The state is then dropped as soon as nothing
 	// depends on it.
 	left bool
@@ -144,6 +147,7 @@
 	unreported   time.Duration
 	loadsChanged bool
 	queue        longQueue
+	pace         *pacing
 	candidateBuf []candidate
 }
 
@@ -198,7 +202,7 @@
 
 // dropIfUnused drops the state of a backend server that has left if nothing depends on it.
 func (p *Planner) dropIfUnused(now time.Time, st *serverState) {
-	if st.left && st.own == (Load{Key: st.key}) && !now.Before(st.busyUntil) && !now.Before(st.avoidUntil) && !st.cold.counts(now) {
+	if st.left && st.own == (Load{Key: st.key}) && !now.Before(st.busyUntil) && !now.Before(st.avoidUntil) && !st.cold.counts(now) && !st.dependsOnPace(now) {
 		delete(p.states, st.key)
 	}
 }
@@ -303,6 +307,7 @@
 		}
 		st.cold.recordSend(now)
 	}
+	p.recordPlacedPace(now, r, profile, place)
 	p.loadsChanged = true
 	p.lastID++
 	p.requests[p.lastID] = r
@@ -312,6 +317,7 @@
 // RecordProgress records that an event of a request has arrived, which means that the prefill of its prompt is done.
 func (p *Planner) RecordProgress(now time.Time, id PlacementID) {
 	if r := p.requests[id]; r != nil {
+		p.recordProgressPace(now, r)
 		p.finishPrefill(r)
 		r.servers[0].lastProgress = now
 	}
@@ -335,6 +341,7 @@
 		return
 	}
 	delete(p.requests, id)
+	p.recordEndPace(now, r, o)
 	p.finishPrefill(r)
 	p.loadsChanged = true
 	first := r.servers[0]
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -62,6 +62,7 @@
 	}
 	delete(p.peers, gateway)
 	delete(p.queue.peers, gateway)
+	p.pace.removePeer(gateway)
 }
 
 // expirePeers removes the gateways whose last report is too old.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -30,13 +30,22 @@
 	avoid  bool
 	// unreported is prefill that other gateways have probably sent there since their last reports.
 	unreported time.Duration
+	// slowness is how many times more slowly than published the server answers, and 0 or 1 if it does not. total.PendingPrefill is
+	// multiplied by it, and slowPrefill is what it adds to a prefill. full means that the server should get no more requests now.
+	slowness    float64
+	slowPrefill time.Duration
+	full        bool
+	// due means that the window of the server is not open, and that it is this gateway's turn to send there.
+	due bool
 	// rank orders the backend servers for this gateway: those of its zone first, then by a hash that differs between
 	// gateways.
 	rank uint64
 }
 
 // pending returns the prefill that a new prompt probably waits for.
-func (c *candidate) pending() time.Duration { return c.total.PendingPrefill + c.unreported }
+func (c *candidate) pending() time.Duration {
+	return c.total.PendingPrefill + c.unreported + c.slowPrefill
+}
 
 func (c *candidate) requests() int { return c.total.Short + c.total.Long }
 
@@ -103,6 +112,7 @@
 		c := candidate{server: s, state: st, rank: p.rank(s, st.key)}
 		c.total, c.avoid = p.groupLoad(now, st)
 		c.avoid = c.avoid || float64(st.errorRate) > mean+errorRateMargin
+		p.applyPace(now, profile, &c)
 		if !c.avoid {
 			healthy++
 		}
@@ -111,6 +121,7 @@
 	if healthy > 0 && healthy < len(p.candidateBuf) {
 		p.candidateBuf = slices.DeleteFunc(p.candidateBuf, func(c candidate) bool { return c.avoid })
 	}
+	p.followWindows(profile)
 	p.leaveFailedZone(servers, tried)
 	return p.candidateBuf, without
 }
@@ -162,7 +173,7 @@
 		if elsewhere {
 			requests += otherZoneRequests
 		}
-		cost := float64(requests) / float64(max(c.server.Slots, 1))
+		cost := c.plainCost(requests)
 		if n == 0 || cost < bestCost || cost == bestCost && !elsewhere && candidates[best].server.Zone != p.zone {
 			best, bestCost = i, cost
 		}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -34,7 +34,7 @@
 		return 0
 	}
 	queued := max(total.Short+total.Long-engine.Slots, 0)
-	return total.PendingPrefill + time.Duration(queued)*queuedRequestCost + iterationTime
+	return scale(total.PendingPrefill+time.Duration(queued)*queuedRequestCost+iterationTime, p.slowness(now, r.servers[0]))
 }
 
 // IsPrefilling reports whether the prompts that the engine of a placed request has to prefill, from all gateways, explain how long
@@ -51,7 +51,7 @@
 	if avoided {
 		return false
 	}
-	explained := time.Duration(prefillSilenceFactor * float64(total.PendingPrefill+iterationTime))
+	explained := time.Duration(prefillSilenceFactor * p.slowness(now, st) * float64(total.PendingPrefill+iterationTime))
 	return now.Sub(st.lastProgress) < explained
 }
 
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -33,7 +33,7 @@
 		best = p.earliestEngine(profile, candidates)
 	}
 	c := &candidates[best]
-	expected := c.total.PendingPrefill + c.slotWait(profile) + profile.PrefillTime() + iterationTime
+	expected := c.total.PendingPrefill + c.paced(c.slotWait(profile)+profile.PrefillTime()+iterationTime)
 	if over := now.Add(expected).Sub(profile.Deadline); over > 0 && !profile.Deadline.IsZero() {
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(over, minOverloadedRetry)}
 	}
@@ -110,7 +110,7 @@
 	overpackLimit := max(int(overpackSlotShare*float64(profile.Engine.Slots)), 1)
 	for i := range candidates {
 		c := &candidates[i]
-		slots := profile.Engine.Slots - c.requests()
+		slots := c.slots(profile.Engine.Slots) - c.requests()
 		switch {
 		case c.total.PendingPrefill > maxPackPrefill || slots <= 0:
 		case c.total.Short >= limit:
@@ -142,8 +142,7 @@
 	best, bestCost := 0, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		cost := c.total.PendingPrefill + time.Duration(c.requests())*iterationTime/8
-		cost += c.slotWait(profile)
+		cost := c.total.PendingPrefill + c.paced(time.Duration(c.requests())*iterationTime/8+c.slotWait(profile)+profile.PrefillTime()+iterationTime)
 		if profile.Engine.KVCacheTokens > 0 && !fits(profile, c, profile.Prompt+profile.Answer) {
 			cost += time.Second
 		}
--- a/internal/worker/pace_test.go
+++ b/internal/worker/pace_test.go
@@ -121,7 +121,7 @@
 		t.Run(name, func(t *testing.T) {
 			var s Speed
 			for _, r := range tt.ratios {
-				s.Record(epoch, math.Log(r), tt.weight)
+				s.Record(epoch, math.Log(r), tt.weight, 1)
 			}
 			got := s.Evidence(epoch.Add(tt.age)).Slowness()
 			assert.Assert(t, math.Abs(got-tt.want) < 0.01, "got %.2f, want %.2f", got, tt.want)
--- a/internal/worker/shared_window.go
+++ b/internal/worker/shared_window.go
@@ -173,17 +173,18 @@
 // ChangedAt returns when the window was last started or reset.
 func (w *SharedWindow) ChangedAt() time.Time { return w.changedAt }
 
-// Merge applies the report of another process.
-func (w *SharedWindow) Merge(now time.Time, process string, r WindowReport) {
+// Merge applies the report of another process, and returns whether the other process had reset its window.
+func (w *SharedWindow) Merge(now time.Time, process string, r WindowReport) bool {
 	if r.Generation < w.generation {
-		return
+		return false
 	}
 	w.mergedAt = now
-	if r.Generation > w.generation {
+	reset := r.Generation > w.generation
+	if reset {
 		w.restart(now, r.Generation, probeRequests)
 	}
 	if w.open {
-		return
+		return reset
 	}
 	growth := r.Grown - w.peerGrowth[process]
 	w.peerGrowth[process] = r.Grown
@@ -192,4 +193,5 @@
 	if r.Open {
 		w.Release(now)
 	}
+	return reset
 }
--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -7,8 +7,12 @@
 
 const (
 	// speedMemory is the time constant with which evidence of speed is forgotten. It is the time in which a server that gets
-	// little work is given work again to show that it has recovered.
-	speedMemory = 2 * time.Second
+	// little work is given work again to show that it has recovered. When there is more evidence than enoughWeight, new evidence
+	// replaces it sooner, so that what was measured before a change does not hide it: at 2 s, an engine that answered 7 requests a second was
+	// noticed to be four times slower after 1.75 s.
+	speedMemory    = 2 * time.Second
+	minSpeedMemory = speedMemory / 8
+	enoughWeight   = 8
 	// maxSlowness bounds the ratio that one answer counts with, so that one very late answer does not outweigh others.
 	maxSlowness = 6
 	// minSlowWeight is the weight of the evidence below which no server counts as slow: that of three answers. The pauses of one
@@ -21,7 +25,7 @@
 	// minSlowRatio is the ratio below which a server counts as being as fast as predicted.
 	minSlowRatio = 1.35
 	// calibrationStep is how far one piece of evidence of weight 1 moves a Calibration.
-	calibrationStep = 0.02
+	calibrationStep = 0.05
 )
 
 // SpeedEvidence is a sum of logarithms of the ratios of measured to predicted times, and of their weights. An answer has the
@@ -61,20 +65,24 @@
 	at       time.Time
 }
 
-// Record adds the logarithm of the ratio of a measured to a predicted time.
-func (s *Speed) Record(now time.Time, logRatio, weight float64) {
+// Record adds the logarithm of the ratio of a measured to a predicted time. processes is the number of processes that have
+// about as much evidence.
+func (s *Speed) Record(now time.Time, logRatio, weight float64, processes int) {
 	limit := math.Log(maxSlowness)
-	s.evidence = s.Evidence(now)
+	excess := max(s.evidence.Weight*float64(processes)/enoughWeight, 1)
+	s.evidence = s.left(now, max(time.Duration(float64(speedMemory)/(excess*excess)), minSpeedMemory))
 	s.evidence.Add(SpeedEvidence{Weight: weight, LogSum: weight * min(max(logRatio, -limit), limit)}, 1)
 	s.at = now
 }
 
 // Evidence returns what is left of the evidence.
-func (s *Speed) Evidence(now time.Time) SpeedEvidence {
+func (s *Speed) Evidence(now time.Time) SpeedEvidence { return s.left(now, speedMemory) }
+
+func (s *Speed) left(now time.Time, memory time.Duration) SpeedEvidence {
 	if s.evidence.Weight == 0 {
 		return SpeedEvidence{}
 	}
-	keep := math.Exp(-max(now.Sub(s.at), 0).Seconds() / speedMemory.Seconds())
+	keep := math.Exp(-max(now.Sub(s.at), 0).Seconds() / memory.Seconds())
 	return SpeedEvidence{Weight: keep * s.evidence.Weight, LogSum: keep * s.evidence.LogSum}
 }
 
@@ -85,6 +93,12 @@
 	known  bool
 }
 
+// Known reports whether there has been a value.
+func (c *Calibration) Known() bool { return c.known }
+
+// Median returns the median, which is 0 before the first value.
+func (c *Calibration) Median() float64 { return c.median }
+
 // Adjust returns a logarithm relative to the median, and counts it for the median. A prediction that has no unit of its own
 // takes the first value as the median; others start at 0.
 func (c *Calibration) Adjust(logRatio, weight float64, absolute bool) float64 {
