peering: the state of a gateway holds the pace of backend servers

Gateways tell each other the evidence of speed and the windows of at most 12 backend servers.

go test -race ./internal/peering: ok.

--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -58,6 +58,7 @@
 	Held        []heldMessage
 	Work        []workMessage
 	Parts       []byte
+	Paces       []paceMessage
 }
 
 // proofMessage follows the state in the same datagram. It is a message of its own because it differs by recipient.
@@ -92,17 +93,18 @@
 // largest.
 func Encode(s State) ([]byte, error) {
 	loads := s.Loads
-	if len(loads) > maxLoads {
+	if limit := maxLoadsBeside(len(s.Paces)); len(loads) > limit {
 		loads = slices.Clone(loads)
 		slices.SortFunc(loads, func(a, b dispatch.Load) int {
 			return cmp.Or(cmp.Compare(b.PendingPrefill, a.PendingPrefill), cmp.Compare(b.Short+b.Long, a.Short+a.Long))
 		})
-		loads = loads[:maxLoads]
+		loads = loads[:limit]
 	}
 	m := stateMessage{
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp,
 		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work),
+		Paces: encodePaces(s.Paces),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
@@ -170,6 +172,9 @@
 	if s.Work, err = decodeWork(m.Work); err != nil {
 		return State{}, Proof{}, err
 	}
+	if s.Paces, err = decodePaces(m.Paces); err != nil {
+		return State{}, Proof{}, err
+	}
 	for _, u := range m.RetryUsage {
 		if u.Requests > maxCount || u.Retries > maxCount {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("retry usage out of range")}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -75,6 +75,8 @@
 	// and sent, by service.
 	Held []dispatch.HeldPrompt
 	Work []dispatch.LongWork
+	// Paces is what the gateway has learned of the pace of backend servers.
+	Paces []dispatch.PaceReport
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// Requests is what the gateway knows of requests that were running when backend servers ended, in the encoding of package
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -13,6 +13,7 @@
 
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/peering"
+	"berylward.example/berylward/internal/worker"
 )
 
 var (
@@ -239,6 +240,11 @@
 			Pending: 1200 * time.Millisecond,
 		}},
 		RetryUsage: []dispatch.RetryUsage{{Service: 8, Requests: 90, Retries: 4}}, Stamp: 70_000,
+		Paces: []dispatch.PaceReport{
+			{Key: 3, Speed: worker.SpeedEvidence{Weight: 3, LogSum: 3}, HasWindow: true, Window: worker.WindowReport{Generation: 2, Grown: -1}},
+			{Key: 5, HasWindow: true, Window: worker.WindowReport{Open: true, Grown: 9}},
+			{Key: 6, Speed: worker.SpeedEvidence{Weight: 5, LogSum: -5}},
+		},
 	}
 	proof := peering.Proof{Version: 8, Incarnation: 3, Stamp: 70_000, Delay: 40 * time.Millisecond}
 	proofData, err := peering.EncodeProof(proof)
@@ -271,6 +277,12 @@
 	assert.Equal(t, got.Loads[0].PendingPrefill, 499*time.Second, "the largest loads are kept")
 	assert.Equal(t, got.Held[0].Waited, 499*time.Second, "the oldest held prompts are kept")
 	assert.Equal(t, got.Work[0].Pending, 499*time.Second, "the services with the most work are kept")
+	for name, speed := range map[string]worker.SpeedEvidence{"huge": {Weight: 1e9, LogSum: 1e12}, "none": {}, "tiny": {Weight: 1e-9, LogSum: 1}} {
+		data, err := peering.Encode(peering.State{Paces: []dispatch.PaceReport{{Key: 1, Speed: speed}}})
+		assert.NilError(t, err)
+		_, _, err = peering.Decode(append(data, proofData...))
+		assert.NilError(t, err, name)
+	}
 	for name, malformed := range map[string][]byte{"empty": {}, "not an array": {0x01}, "truncated": data[:40], "no proof": data[:len(data)-len(proofData)]} {
 		_, _, err := peering.Decode(malformed)
 		assert.ErrorContains(t, err, "decode", name)
@@ -293,5 +305,8 @@
 		for _, h := range s.Held {
 			assert.Assert(t, h.Waited >= 0 && h.Prefill >= 0)
 		}
+		for _, r := range s.Paces {
+			assert.Assert(t, r.Speed.Weight >= 0 && r.Window.Generation >= 0)
+		}
 	})
 }
