--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -17,6 +17,7 @@
 	var file, logLevels, traces string
 	var admin netip.AddrPort
 	var offset time.Duration
+	var pace bool
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run a gateway: the process that forwards requests of callers directly to backend servers, without sidecars",
@@ -28,6 +29,7 @@
 	s.stringVar(&logLevels, "log-levels", "slice=verbosity pairs, such as gateway=1,default=0", "log verbosity by slice, as named in the slice field of log lines")
 	s.stringVar(&traces, "traces", "stdout, file:PATH or an OTLP/HTTP URL", "export target of trace spans; no export when empty")
 	s.durationVar(&offset, "clock-offset", "offset added to the time of day that the process sees, to test clock skew")
+	s.boolVar(&pace, "pace", "learn how fast backend servers are, and limit the requests in flight at those that have just started or stopped answering")
 	s.require("settings")
 	checkTelemetry(s, &logLevels, &traces)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -36,7 +38,7 @@
 			return err
 		}
 		limitMemory(settings.MemoryLimit)
-		settings.DescriptorLimit = descriptorLimit()
+		settings.DescriptorLimit, settings.Pace = descriptorLimit(), pace
 		p := processFlags{instance: settings.Instance, admin: admin, logLevels: logLevels, traces: traces, logOutput: os.Stdout}
 		instr, err := p.startInstrumentation(cmd.Context())
 		if err != nil {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -305,6 +305,9 @@
 			t.row("", "%s of %s: %s", server.ID, server.Service, server.Reason)
 		}
 	}
+	for _, server := range st.Pace {
+		t.row("pace of "+server.ID, "%.1f times as slow as published, %s requests in flight", server.Slowness, limitOrNone(int64(server.Window)))
+	}
 	t.row("gateways", "%d", st.Gateways)
 	for _, zone := range slices.Sorted(maps.Keys(st.ReportAges)) {
 		t.row("", "reports from %s: %d ms old at most", zone, st.ReportAges[zone])
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	maxKeyAge := max(s.RevocationTimeout-proofMargin, 0)
 	g.currentTable = route.NewCurrentTable(maxKeyAge)
 	g.random = rand.New(rand.NewPCG(seed, 2))
-	g.planner = dispatch.NewPlanner(s.Zone, dispatch.WithRandomSource(rand.NewPCG(seed, 3)))
+	g.planner = dispatch.NewPlanner(s.Zone, append(s.plannerOptions(), dispatch.WithRandomSource(rand.NewPCG(seed, 3)))...)
 	retryLimits := dispatch.SharedRetryLimits{Share: s.RetryShare, Reserve: s.RetryReserve, Window: s.RetryWindow}
 	g.retries = dispatch.NewSharedRetryBudget(retryLimits, g.clock.Now(), rand.NewPCG(seed, 4))
 	g.group = peering.NewGroup(s.PeeringAddress, s.Zone, s.Seeds)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -67,6 +67,8 @@
 	// retryReserve is the RetryReserve setting of the gateway, descriptorLimit its DescriptorLimit.
 	retryReserve    float64
 	descriptorLimit int
+	// pace is the Pace setting of the gateway.
+	pace bool
 	// dialError is returned for each connection to a backend server, if it is set.
 	dialError error
 	sequence  atomic.Int64
@@ -127,6 +129,7 @@
 			Instance: "front-1", Zone: "el-centro", CallerAddress: callerAddress, ReadinessAddress: readyAddress, ShutdownTimeout: 8 * time.Second,
 			MemoryLimit: memoryLimit, DescriptorLimit: h.descriptorLimit,
 			RevocationTimeout: 5 * time.Second, RetryShare: 0.2, RetryReserve: h.retryReserve, RetryWindow: 10 * time.Second, HelperTimeout: 1500 * time.Millisecond,
+			Pace: h.pace,
 		}, platform.Protocol{}, store, append([]gateway.Option{
 			gateway.WithBootClock(h.boot), gateway.WithListeners(callers, ready), gateway.WithDialer(h.dial),
 		}, options...)...)
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -40,6 +40,9 @@
 	MemoryLimit int64
 	// DescriptorLimit is the number of file descriptors that the process may open; zero means that it is not known.
 	DescriptorLimit int
+	// Pace makes the gateway learn how fast backend servers are, and limit the requests in flight at those that have just started or
+	// whose answers have stopped.
+	Pace bool
 }
 
 // Update is one update from the store. It is a sealed interface: TableUpdate, ZoneUpdate, ServerUpdate, ServerRemoved
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,6 +53,7 @@
 			}
 		}
 		g.planner.SetPeerLoads(now, from.String(), s.Loads)
+		g.planner.SetPeerPace(now, from.String(), s.Paces)
 		g.planner.SetPeerQueue(now, from.String(), dispatch.QueueReport{Held: s.Held, Work: s.Work})
 		g.retries.SetPeerUsage(now, from.String(), s.RetryUsage)
 		g.updateGroupSize(now)
@@ -123,6 +124,7 @@
 	s := peering.State{
 		Incarnation: g.incarnation, Sequence: sequence, Zone: g.Zone, Stopping: g.shutdown.hasBegun(), Members: members, Loads: loads,
 		RetryUsage: g.retries.LocalUsage(now), Stamp: uint64(g.boot.Now().UnixMilli()),
+		Paces: g.planner.Pace(now),
 	}
 	queue := g.planner.Queue(now)
 	s.Held, s.Work = queue.Held, queue.Work
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -41,6 +41,9 @@
 	ResponseBodies body.Usage `json:"response-bodies"`
 	// Unavailable lists the backend servers that get no requests because they said that they leave or are busy.
 	Unavailable []UnavailableServer `json:"unavailable,omitempty"`
+	// Pace lists the backend servers that are slower than published or whose requests in flight are limited, if the gateway follows
+	// the pace of servers.
+	Pace []ServerPace `json:"pace,omitempty"`
 }
 
 // Status returns the current state of the gateway.
@@ -78,6 +81,7 @@
 		s.QuarantinedParts[part.String()] = until.Sub(now).Milliseconds()
 	}
 	s.Unavailable = g.unavailableServers(now)
+	s.Pace = g.paceStatus(now)
 	return s
 }
 
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -131,7 +131,9 @@
 		g.mu.Lock()
 		changes := g.roster.Expire(now)
 		g.planner.Expire(now)
+		paces := g.planner.TakePaceChanges(now)
 		g.mu.Unlock()
+		g.logPace(paces)
 		g.checkWatch()
 		for _, c := range changes {
 			g.handleChange(c)
