dispatch: pace costs nothing where all servers are as fast as published

The tests of the status no longer depend on the moment or on which of two servers four calls choose.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -163,7 +163,8 @@
 // turn to send, if they have fewer requests than the others: a gateway seldom has a turn, and a request that it sends elsewhere
 // meanwhile would leave the server idle. Long prompts are not used to show whether a server answers.
 func (p *Planner) followWindows(profile RequestProfile) {
-	if p.pace == nil {
+	limited := func(c candidate) bool { return c.full || c.due }
+	if p.pace == nil || !slices.ContainsFunc(p.candidateBuf, limited) {
 		return
 	}
 	p.keep(func(c *candidate) bool { return !c.full })
@@ -217,6 +218,10 @@
 	if p.pace == nil || st.pace == nil {
 		return 1
 	}
+	// Most servers are not slow; their evidence need not be aged for each placement.
+	if _, reported := p.pace.peerSpeed[st.key]; !reported && st.pace.speed.Undecayed().Slowness() == 1 {
+		return 1
+	}
 	return p.speedEvidence(now, st).Slowness()
 }
 
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a slow plain server that the status does not name, and against a setting that has an effect when it is off. Load:
-// 100 calls in 5 s for two servers, one of which takes five times as long.
+// 100 calls in 5 s for three servers, one of which takes five times as long.
 func TestPaceInStatus(t *testing.T) {
 	for name, pace := range map[string]bool{"on": true, "off": false} {
 		t.Run(name, func(t *testing.T) {
@@ -28,19 +28,22 @@
 				h.backends[0].StepTime = 75 * time.Millisecond
 			}, func(h *harness) {
 				var calls sync.WaitGroup
+				slowness := map[string]float64{}
 				for range 100 {
 					calls.Go(func() { h.call(http.MethodGet, "/look/a", nil) })
 					time.Sleep(50 * time.Millisecond)
+					// The server is not named all the time: it gets little work, and evidence ages.
+					for _, s := range h.gateway.Status().Pace {
+						slowness[s.ID] = max(slowness[s.ID], s.Slowness)
+					}
 				}
-				status := h.gateway.Status()
 				calls.Wait()
 				if !pace {
-					assert.Equal(t, len(status.Pace), 0)
+					assert.Equal(t, len(slowness), 0)
 					return
 				}
-				assert.Equal(t, len(status.Pace), 1)
-				assert.Equal(t, status.Pace[0].ID, h.backends[0].Server.ID)
-				assert.Assert(t, status.Pace[0].Slowness > 2)
+				assert.Equal(t, len(slowness), 1)
+				assert.Assert(t, slowness[h.backends[0].Server.ID] > 2)
 			})
 		})
 	}
@@ -52,7 +55,7 @@
 		h.pace = true
 		h.backends[0].SetFault(direct.NeverAnswers{})
 	}, func(h *harness) {
-		for range 4 {
+		for range 16 {
 			h.call(http.MethodGet, "/look/a", nil)
 		}
 		assert.DeepEqual(t, h.gateway.Status().Pace, []gateway.ServerPace{{ID: h.backends[0].Server.ID, Slowness: 1, Window: 1}})
--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -76,6 +76,9 @@
 	s.at = now
 }
 
+// Undecayed returns the evidence as of the last record. What is left of it never shows a slow server if it does not.
+func (s *Speed) Undecayed() SpeedEvidence { return s.evidence }
+
 // Evidence returns what is left of the evidence.
 func (s *Speed) Evidence(now time.Time) SpeedEvidence { return s.left(now, speedMemory) }
 
