--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -8,7 +8,11 @@
 
 // predict returns the predicted course of a prompt at an engine, from what all gateways have placed there.
 func (c *candidate) predict(e forecast.Engine, profile RequestProfile) forecast.Prediction {
-	load := forecast.Estimate(e, forecast.Sums{Requests: c.requests(), Prefill: c.total.PendingPrefill, Memory: c.total.Memory})
+	// The pending prefill of a slow engine is already that of its pace.
+	slowness := max(c.slowness, 1)
+	load := forecast.Estimate(e, forecast.Sums{
+		Requests: c.requests(), Prefill: scale(c.total.PendingPrefill, 1/slowness), Memory: c.total.Memory, Slowness: slowness,
+	})
 	return forecast.Predict(e, load, forecast.Request{Prompt: profile.Prompt, Output: profile.Answer})
 }
 
--- a/internal/peering/messages.go
+++ b/internal/peering/messages.go
@@ -66,6 +66,7 @@
 	Era         int64
 	ServersOut  []outMessage
 	ZonesOut    []string
+	Paces       []paceMessage
 }
 
 type outMessage struct {
@@ -107,9 +108,9 @@
 // Encode returns the first part of a datagram, which holds the state. If there are more loads than fit, it keeps the
 // largest.
 func Encode(s State) ([]byte, error) {
-	loads, limit := s.Loads, maxLoads
+	loads, limit := s.Loads, maxLoadsBeside(len(s.Paces))
 	if len(s.Workspaces) > 0 {
-		limit = maxLoadsRanked
+		limit -= maxLoads - maxLoadsRanked
 	}
 	if len(loads) > limit {
 		loads = slices.Clone(loads)
@@ -122,6 +123,7 @@
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Zone: s.Zone, Stopping: s.Stopping,
 		Members: s.Members, Requests: s.Requests, Parts: s.Parts, Stamp: s.Stamp, Version: s.Version, Era: s.Era, ZonesOut: s.Out.Zones,
 		Loads: make([]loadMessage, 0, len(loads)), Held: encodeHeld(s.Held), Work: encodeWork(s.Work, s.Workspaces), Running: encodeRunning(s.Running),
+		Paces: encodePaces(s.Paces),
 	}
 	for _, l := range loads {
 		m.Loads = append(m.Loads, loadMessage{
@@ -202,6 +204,9 @@
 	if s.Workspaces, err = decodeWorkspaces(m.Work); err != nil {
 		return State{}, Proof{}, err
 	}
+	if s.Paces, err = decodePaces(m.Paces); err != nil {
+		return State{}, Proof{}, err
+	}
 	for _, u := range m.RetryUsage {
 		if u.Requests > maxCount || u.Retries > maxCount {
 			return State{}, Proof{}, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("retry usage out of range")}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -80,6 +80,8 @@
 	Running []dispatch.RunningShort
 	// Workspaces are those that have got the most engine time, for services whose requests have different priorities.
 	Workspaces []dispatch.WorkspaceTime
+	// Paces is what the gateway has learned of the pace of backend servers.
+	Paces []dispatch.PaceReport
 	// RetryUsage are the requests and retries by service in the window of the retry limits.
 	RetryUsage []dispatch.RetryUsage
 	// Requests is what the gateway knows of requests that were running when backend servers ended, in the encoding of package
