dispatch: workspaces are ordered in steps, and no ranked prompt is sent out of turn

Cause: the merge of the parts of workspaces with the rule that less urgent prompts are not sent out of turn. Change: the engine time of workspaces is compared in steps of 3 s of all engines; no prompt of a ranked service is sent out of turn, and one that is held is refused when what goes first takes too long, so that the special case for workspaces with four times the demand goes.

--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -28,9 +28,8 @@
 	ahead, allowed time.Duration
 	// wait is the predicted time until then.
 	wait time.Duration
-	// behind is set if prompts of other workspaces go first and the workspace demands far more than these. The prompt is then not
-	// sent before its turn.
-	behind bool
+	// drain is the time in which the engines do what goes first now.
+	drain time.Duration
 }
 
 // due reports whether the prompt may be sent.
@@ -80,17 +79,15 @@
 	if profile.Ranks.Ranked() {
 		uses = p.queue.workspaceUses(now, profile.workKey())
 		addHeld(uses, queued, own.rank)
-		own.got = sortByWorkspace(queued, uses, own.rank)
+		own.got = sortByWorkspace(queued, uses, own.rank, engines)
 	}
 	t := turn{ahead: work.Pending, allowed: time.Duration(engines) * profile.sendAhead()}
-	excessive := demandsExcessively(uses, own)
 	for _, q := range queued {
 		switch {
 		case q.own:
 			continue
 		case goesFirst(q, own):
 			t.ahead += q.prefill
-			t.behind = t.behind || excessive && q.rank == own.rank && q.workspace != own.workspace
 		}
 		if q.rank == own.rank && q.workspace == own.workspace && q.arrivedAt.Before(own.arrivedAt) {
 			older.Add(q.prefill, q.prefill)
@@ -106,11 +103,9 @@
 		}
 		if profile.Ranks.Ranked() {
 			older.scale(1 / workspacePart(uses, own.workspace, left)) // The others get their parts meanwhile.
-			if excessive {
-				older.scale(excessiveWait)
-			}
 		}
-		t.wait = max(scale(t.ahead-t.allowed, 1/left), loadedWait(prefill, work, older, t.allowed, left))
+		t.drain = scale(t.ahead-t.allowed, 1/left)
+		t.wait = max(t.drain, loadedWait(prefill, work, older, t.allowed, left))
 	}
 	return t
 }
@@ -166,9 +161,9 @@
 // expected is the predicted time to its first event if it is sent now.
 //
 // A prompt that has just arrived is refused if it would probably not be done before its deadline. One that is held keeps its
-// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out. A prompt that yields to
-// more urgent ones is never sent out of turn, so it is refused as soon as its turn probably comes too late.
-// Neither is one that is behind prompts of other workspaces sent out of turn.
+// place as long as it could be done if it were sent now, and is sent at the latest when its time runs out. Where requests are ranked,
+// no prompt is sent out of turn, since more urgent ones or other workspaces would pay for it; it is refused as soon as what goes first
+// takes too long.
 func awaitTurn(now time.Time, profile RequestProfile, t turn, candidates []candidate, expected time.Duration) (Placement, bool) {
 	needed := expected
 	if !t.due() && profile.HoldID == 0 {
@@ -178,10 +173,10 @@
 	switch {
 	case needed > left:
 		return NoPlacement{Reason: Overloaded, RetryAfter: max(needed-left, minOverloadedRetry)}, true
-	case t.due(), expected+deadlineMargin > left && !profile.yields() && !t.behind:
+	case t.due(), expected+deadlineMargin > left && !profile.Ranks.Ranked():
 		return nil, false
-	case profile.yields() && expected+t.wait > left:
-		return NoPlacement{Reason: Overloaded, RetryAfter: max(expected+t.wait-left, minOverloadedRetry)}, true
+	case profile.Ranks.Ranked() && expected+t.drain > left:
+		return NoPlacement{Reason: Overloaded, RetryAfter: max(expected+t.drain-left, minOverloadedRetry)}, true
 	}
 	return hold(HoldTurn, candidates, expected), true
 }
--- a/internal/dispatch/workspace.go
+++ b/internal/dispatch/workspace.go
@@ -15,13 +15,8 @@
 	// workspaceCredit bounds how far a workspace that returns after it had nothing to send goes before the others: by what the engines
 	// do in this time. It is below deadlineMargin, so that prompts which were held because they could be done in time still are.
 	workspaceCredit = 500 * time.Millisecond
-	// excessiveDemand is how many times the mean of the others a workspace must demand to be kept from sending prompts before their
-	// turn when their time runs out. Workspaces that send alike differ by less, although each has only a few prompts in workMemory; with
-	// twice the mean, ten of them were served 4 % less in an overload.
-	excessiveDemand = 4
-	// excessiveWait lengthens the predicted wait of prompts of such a workspace: prompts of others that arrive later go first. Without
-	// it, more of them are held and then refused.
-	excessiveWait = 1.5
+	// workspaceStep is the time of all engines by which workspaces must differ for the order.
+	workspaceStep = 3 * time.Second
 	// maxReportedWorkspaces is the largest number of workspaces in a report. Those that are left out have got the least.
 	maxReportedWorkspaces = 8
 )
@@ -187,7 +182,11 @@
 
 // sortByWorkspace sets for each queued prompt of a rank the time that its workspace will have got when its turn comes, and returns
 // that of the prompt whose turn is looked for. The prompts of one workspace keep the order of goesFirst.
-func sortByWorkspace(queued []queuedPrompt, uses map[Key]workspaceUse, rank route.Rank) time.Duration {
+//
+// The times are in steps of what a number of engines do in workspaceStep, so that small differences between workspaces that send alike
+// do not change the order again and again: prompts that are overtaken often are held until it is too late for them.
+func sortByWorkspace(queued []queuedPrompt, uses map[Key]workspaceUse, rank route.Rank, engines int) time.Duration {
+	step := time.Duration(max(engines, 1)) * workspaceStep
 	slices.SortStableFunc(queued, func(a, b queuedPrompt) int { return cmp.Compare(a.service, b.service) })
 	got := map[Key]time.Duration{}
 	var own time.Duration
@@ -196,7 +195,7 @@
 		if h.rank != rank {
 			continue
 		}
-		h.got = uses[h.workspace].used() + got[h.workspace]
+		h.got = (uses[h.workspace].used() + got[h.workspace]).Truncate(step)
 		got[h.workspace] += h.prefill
 		if h.own {
 			own = h.got
@@ -205,20 +204,6 @@
 	return own
 }
 
-// demandsExcessively reports whether what the workspace of a prompt has got and holds is far more than that of the others in the mean.
-func demandsExcessively(uses map[Key]workspaceUse, prompt queuedPrompt) bool {
-	var others time.Duration
-	n := 0
-	for key, u := range uses {
-		if key != prompt.workspace {
-			others += u.demand()
-			n++
-		}
-	}
-	own := uses[prompt.workspace].demand() + prompt.prefill
-	return n > 0 && own.Seconds()*float64(n) > excessiveDemand*others.Seconds()
-}
-
 // workspacePart returns the part of the engines that a workspace gets as long as it has prompts to send: an equal part, and what the
 // others leave of theirs.
 func workspacePart(uses map[Key]workspaceUse, workspace Key, engines float64) float64 {
