dispatch: ranks of services without ranks have no effect

Cause: a request of a service whose routes have one priority has a rank too, and yields compared it with the empty range: all long prompts of the earlier deployments yielded to nobody in particular, were sent 0.5 s ahead and used no engine with short prompts. Change: urgent and yields hold for ranked services only; plain requests count no urgent ones; the line table in force names the ranked services. TestNotRanked fails before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -280,7 +280,7 @@
 // RecordPlacement records that a request is sent as placed. The PlacementID identifies it in calls of RecordProgress
 // and RecordEnd. It is zero for Hold and NoPlacement.
 func (p *Planner) RecordPlacement(now time.Time, profile RequestProfile, place Placement) PlacementID {
-	r := &placedRequest{placedAt: now, service: profile.Service, short: profile.Short(), prefill: profile.PrefillTime(), urgent: profile.urgent(), rank: profile.rank()}
+	r := &placedRequest{placedAt: now, service: profile.Service, short: profile.Short(), prefill: profile.PrefillTime(), urgent: profile.Engine != nil && profile.urgent(), rank: profile.rank()}
 	switch place := place.(type) {
 	case Send:
 		r.servers, r.expected = []*serverState{p.stateOf(place.Server)}, place.Expected
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -133,10 +133,10 @@
 }
 
 // urgent reports whether other requests for the service are less urgent.
-func (p RequestProfile) urgent() bool { return p.Rank < p.Ranks.Least }
+func (p RequestProfile) urgent() bool { return p.Ranks.Ranked() && p.Rank < p.Ranks.Least }
 
 // yields reports whether other requests for the service are more urgent.
-func (p RequestProfile) yields() bool { return p.Rank > p.Ranks.Most }
+func (p RequestProfile) yields() bool { return p.Ranks.Ranked() && p.Rank > p.Ranks.Most }
 
 // EngineUrgency returns the priority of the prompt in the queue of its engine, 0 to 9; 0 is the most urgent. Short prompts go first, and
 // more urgent prompts before the least urgent ones.
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -127,3 +128,48 @@
 		assert.Check(t, !used[s.ID], "engine %s answers more urgent prompts", s.ID)
 	}
 }
+
+// Guards against requests that are treated as less urgent than others because their routes and workspaces have a priority, although
+// all requests for their service have the same: on the deployments whose requests are not ranked, middle prompts were on time less
+// often.
+func TestNotRanked(t *testing.T) {
+	for name, tc := range map[string]struct {
+		profile dispatch.RequestProfile
+		loads   []dispatch.Load
+		held    []dispatch.HeldPrompt
+		joining bool
+	}{
+		"engines with short prompts":       {profile: longProfile(193_000), loads: loadsOf(12, dispatch.Load{Short: 6, PendingPrefill: 100 * time.Millisecond})},
+		"much prefill before the engines":  {profile: longProfile(193_000), loads: loadsOf(12, dispatch.Load{Long: 1, PendingPrefill: 900 * time.Millisecond}), held: heldPrompts(6, 2*time.Second, 2*time.Second)},
+		"gateways that do not know others": {profile: longProfile(193_000), joining: true},
+		"many prompts that wait":           {profile: longProfile(45_000), held: heldPrompts(30, 2*time.Second, 2*time.Second)},
+		"short prompt and full engines":    {profile: shortProfile(), loads: loadsOf(12, dispatch.Load{Short: 20, PendingPrefill: 300 * time.Millisecond})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := newServers(12)
+			place := func(rank route.Rank) (dispatch.Placement, int) {
+				p := dispatch.NewPlanner("z-0")
+				p.SetJoining(tc.joining)
+				p.SetPeerLoads(start, "other", tc.loads)
+				p.SetPeerQueue(start, "other", dispatch.QueueReport{Held: tc.held})
+				profile := tc.profile
+				profile.Service, profile.Rank = 1, rank
+				return p.Place(start, profile, servers, nil), profile.EngineUrgency()
+			}
+			without, urgencyWithout := place(0)
+			with, urgencyWith := place(1<<8 | 1)
+			assert.Check(t, reflect.DeepEqual(with, without), "%+v, without a rank %+v", with, without)
+			assert.Equal(t, urgencyWith, urgencyWithout)
+		})
+	}
+}
+
+// loadsOf returns the same load at each of a number of engines.
+func loadsOf(n int, load dispatch.Load) []dispatch.Load {
+	var loads []dispatch.Load
+	for _, s := range newServers(n) {
+		load.Key = dispatch.BackendKey(s)
+		loads = append(loads, load)
+	}
+	return loads
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -166,7 +166,7 @@
 			if g.currentTable.Install(u.Table) {
 				newerTable = true
 				logCalls = append(logCalls, func() {
-					g.log.Info("table in force", "version", u.Table.Version, "routes", u.Table.Routes())
+					g.log.Info("table in force", "version", u.Table.Version, "routes", u.Table.Routes(), "ranked", u.Table.RankedServices())
 				})
 			}
 		case ZoneUpdate:
