gateway: release reserved memory that its engine does not begin to use

An engine that accepted a request and answered orders, but did not begin the request, kept the memory of a prompt in parts reserved at all engines for as long as the gateway waited for a first event (9.5 s seen; the bound is 9 s).

Without an event 5 s after the reservation, the gateway asks the first engine for its reservations, at most once a second and four times. If the memory is not known to be used by then, the attempt is lost and the memory is released by 8.8 s. Until the use is known no lease lasts beyond 8.6 s, so the bound also holds if orders to release are lost. A prefill that is in use is not cut. gateway.Protocol gets EncodeReservationQuery and DecodeReservations; the stand-in engine reports its reservations and has the faults NeverBegins and BeginsAfter.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -20,8 +21,9 @@
 	dialTimeoutPlain = 120 * time.Millisecond
 )
 
-// exchange sends the request to the attempt's backend server and returns the head of the response.
-func (q *request) exchange(a *attempt, wait time.Duration, extend func() time.Duration, from resumePoint) (*backend.Exchange, ResponseHead, error) {
+// exchange sends the request to the attempt's backend server and returns the head of the response. Canceling ctx aborts the
+// connection, also while the body of the response is read.
+func (q *request) exchange(ctx context.Context, a *attempt, wait time.Duration, extend func() time.Duration, from resumePoint) (*backend.Exchange, ResponseHead, error) {
 	g := q.gateway
 	remaining := q.deadline.Sub(g.clock.Now())
 	encoded := Attempt{Server: a.server, Workspace: q.current.Workspace, Remaining: remaining, Urgency: -1}
@@ -44,7 +46,7 @@
 	if plain {
 		options.DialTimeout = min(dialTimeoutPlain, remaining)
 	}
-	ctx, span := g.tracer.Start(q.ctx, "attempt", trace.WithAttributes(attribute.String("backend", a.server.ID)))
+	ctx, span := g.tracer.Start(ctx, "attempt", trace.WithAttributes(attribute.String("backend", a.server.ID)))
 	defer span.End()
 	a.sentAt = g.clock.Now()
 	x, err := g.pool.Exchange(ctx, options, g.protocol.EncodeAttempt(&q.req, q.body, encoded))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -251,6 +251,11 @@
 
 // callWithBody is call with a body; nil means a short one for a POST.
 func (h *harness) callWithBody(method, path string, body []byte, modify func(*gateway.CallerRequest)) result {
+	return h.callUntil(h.test.Context(), method, path, body, modify)
+}
+
+// callUntil is callWithBody for a caller that leaves when ctx is canceled.
+func (h *harness) callUntil(ctx context.Context, method, path string, body []byte, modify func(*gateway.CallerRequest)) result {
 	c := gateway.CallerRequest{
 		ID: fmt.Sprintf("call-%d", h.sequence.Add(1)), Method: method, Target: path, Host: callerHost, Key: callerKey, Timeout: 2 * time.Second,
 	}
@@ -263,7 +268,7 @@
 	if method == http.MethodPost && body == nil {
 		body = []byte("body of " + c.ID)
 	}
-	resp, err := h.client.Do(platform.EncodeCallerRequest(callerAddress, c, body).WithContext(h.test.Context()))
+	resp, err := h.client.Do(platform.EncodeCallerRequest(callerAddress, c, body).WithContext(ctx))
 	if err != nil {
 		return result{id: c.ID}
 	}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"berylward.example/berylward/internal/backend"
+	"berylward.example/berylward/internal/body"
 	"berylward.example/berylward/internal/dispatch"
 	"berylward.example/berylward/internal/roster"
 )
@@ -37,7 +39,9 @@
 	failedIDs   []string // IDs of engines where the reservation failed
 	held        bool
 	stopRenewal context.CancelFunc
+	renewalCtx  context.Context
 	renewal     sync.WaitGroup
+	use         leaseUse
 }
 
 func newLeases(q *request, servers []*roster.Server) *leases {
@@ -58,16 +62,22 @@
 	return result
 }
 
-// duration returns how long one reservation lasts. The platform may limit it.
+// duration returns how long one reservation lasts from now. The platform may limit it. It is not positive once memory that is not
+// known to be used must become free.
 func (l *leases) duration() time.Duration {
+	duration := leaseDuration
 	if limit := l.request.gateway.MaxLease; limit > 0 {
-		return min(leaseDuration, limit)
+		duration = min(duration, limit)
 	}
-	return leaseDuration
+	if l.use.isConfirmed() {
+		return duration
+	}
+	return min(duration, l.use.reservedAt.Add(unusedLimit-orderTimeout).Sub(l.request.gateway.clock.Now()))
 }
 
 // reserve reserves the memory at all engines or at none, and renews it until release.
 func (l *leases) reserve() error {
+	l.use = newLeaseUse(l.request.gateway.clock.Now())
 	results := make([]error, len(l.servers))
 	var wg sync.WaitGroup
 	for i, s := range l.servers {
@@ -88,23 +98,31 @@
 	l.held = true
 	l.request.gateway.reserving.Add(1)
 	ctx, cancel := context.WithCancel(l.request.ctx)
-	l.stopRenewal = cancel
+	l.renewalCtx, l.stopRenewal = ctx, cancel
 	l.renewal.Go(func() { l.renew(ctx) })
 	return nil
 }
 
 // renew renews the leases until ctx is canceled.
 func (l *leases) renew(ctx context.Context) {
-	pause := leaseRenewInterval
+	clock := l.request.gateway.clock
+	next, used := clock.After(leaseRenewInterval), l.use.confirmed
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.request.gateway.clock.After(pause):
+		case <-used:
+			used = nil
+			if clock.Since(l.use.reservedAt) < useQueryDelay {
+				continue
+			}
+			// The latest renewal may have been shortened because the use was not known.
+		case <-next:
 		}
-		pause = leaseRenewInterval
-		if !l.renewOnce(ctx) {
-			pause = leaseRetryInterval
+		if l.renewOnce(ctx) {
+			next = clock.After(leaseRenewInterval)
+		} else {
+			next = clock.After(leaseRetryInterval)
 		}
 	}
 }
@@ -114,11 +132,11 @@
 // gateway may notice seconds later; should the gateway end then, nobody would release what it had renewed meanwhile.
 func (l *leases) renewOnce(ctx context.Context) bool {
 	clock := l.request.gateway.clock
-	asked := clock.Now()
-	if !l.renewAt(ctx, l.servers[0], l.duration()) {
+	asked, hold := clock.Now(), l.duration()
+	if hold <= 0 || !l.renewAt(ctx, l.servers[0], hold) {
 		return false
 	}
-	hold := l.duration() - clock.Since(asked)
+	hold -= clock.Since(asked)
 	if hold <= 0 {
 		return false
 	}
@@ -164,30 +182,48 @@
 }
 
 func (l *leases) sendOrder(ctx context.Context, s *roster.Server, r *http.Request) error {
+	l.request.gateway.metrics.count("orders")
+	_, err := l.ask(ctx, s, r, askOptions{limit: maxDiscarded})
+	return err
+}
+
+// askOptions describes a question to an engine.
+type askOptions struct {
+	// limit bounds the answer in bytes.
+	limit int64
+	// newConnection requires a connection on which no earlier answer can be repeated.
+	newConnection bool
+}
+
+// ask sends a question or an order to an engine and returns the body of the answer.
+func (l *leases) ask(ctx context.Context, s *roster.Server, r *http.Request, o askOptions) ([]byte, error) {
 	g := l.request.gateway
-	g.metrics.count("orders")
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	x, err := g.pool.Exchange(ctx, backend.ExchangeOptions{
-		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, IdleLimit: l.request.idleLimit,
+		Address: s.Address, DialTimeout: dialTimeout, HeadTimeout: orderTimeout, IdleLimit: l.request.idleLimit, NewConnection: o.newConnection,
 		// Responses to orders carry no identifier; a repeated response to a request does.
 		Matches: func(resp *http.Response, _ bool) bool { return g.protocol.DecodeResponseHead(resp).ID == "" },
 	}, r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if !x.Reused() {
 		// On a reused connection, the response may be the repeated one of an earlier order.
 		g.recordNotice(s, g.protocol.DecodeResponseHead(x.Response))
 	}
-	if err := discardBody(x); err != nil {
+	data, err := io.ReadAll(io.LimitReader(x.Response.Body, o.limit+1))
+	if size := int64(len(data)); err == nil && size > o.limit {
+		err = &body.Error{Op: "read answer", Kind: body.KindTooLarge, Size: size, Limit: o.limit}
+	}
+	if err != nil {
 		x.Done(false, 0)
-		return err
+		return nil, err
 	}
 	if x.Response.StatusCode != http.StatusOK {
 		x.Close()
-		return errors.Errorf("engine %s: status %d", s.ID, x.Response.StatusCode)
+		return nil, errors.Errorf("engine %s: status %d", s.ID, x.Response.StatusCode)
 	}
 	x.Done(true, 0)
-	return nil
+	return data, nil
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -139,6 +139,13 @@
 	Lease   string
 }
 
+// Reservation is memory that an engine has reserved under a lease.
+type Reservation struct {
+	Lease string
+	// Used is set when a request that the engine runs uses the memory.
+	Used bool
+}
+
 // Attempt is one send of a caller's request to a backend server.
 type Attempt struct {
 	Server    *roster.Server
@@ -227,4 +234,8 @@
 	EncodeReserve(server *roster.Server, lease string, tokens int64, hold time.Duration) *http.Request
 	// EncodeRelease encodes an order that ends a lease.
 	EncodeRelease(server *roster.Server, lease string) *http.Request
+	// EncodeReservationQuery encodes the question which reservations an engine has.
+	EncodeReservationQuery(server *roster.Server) *http.Request
+	// DecodeReservations decodes the body of the answer to EncodeReservationQuery.
+	DecodeReservations(body []byte) ([]Reservation, error)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,7 +30,7 @@
 }
 
 func (q *request) plainAttempt(a *attempt) attemptResult {
-	x, head, err := q.exchange(a, q.plainWait(a), q.extendFunc(a), resumePoint{})
+	x, head, err := q.exchange(q.ctx, a, q.plainWait(a), q.extendFunc(a), resumePoint{})
 	if err != nil {
 		return q.handleFailure(a, err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -113,6 +114,7 @@
 }
 
 func (q *request) streamAttempt(a *attempt, events *answer.EventSplitter) attemptResult {
+	ctx := q.ctx
 	if a.leases != nil {
 		if err := a.leases.reserve(); err != nil {
 			q.gateway.log.Info("memory not reserved", "request", q.req.ID, "error", err.Error())
@@ -124,13 +126,17 @@
 			q.recordOutcome(a, dispatch.Abandoned{})
 			return retryable{"backend-left"}
 		}
+		var giveUp context.CancelCauseFunc
+		ctx, giveUp = context.WithCancelCause(ctx)
+		defer giveUp(nil)
+		a.leases.watchUse(giveUp)
 	}
 	started := q.gateway.clock.Now()
 	wait := q.firstWait(a)
 	after, resumes := events.Last()
-	x, head, err := q.exchange(a, wait, q.extendFunc(a), resumePoint{after, resumes})
+	x, head, err := q.exchange(ctx, a, wait, q.extendFunc(a), resumePoint{after, resumes})
 	if err != nil {
-		return q.handleFailure(a, err)
+		return q.handleFailure(a, unusedOr(ctx, err))
 	}
 	if head.Status != http.StatusOK || !head.Signed {
 		return q.handleNonStream(a, x, head)
@@ -156,7 +162,7 @@
 		q.leave()
 		return completed{}
 	}
-	return q.handleFailure(a, err)
+	return q.handleFailure(a, unusedOr(ctx, err))
 }
 
 // handleNonStream handles a response that is not a stream of events.
@@ -258,7 +264,11 @@
 	return sent, nil
 }
 
+// recordProgress records that an event has arrived.
 func (q *request) recordProgress(a *attempt) {
+	if a.leases != nil {
+		a.leases.use.confirm()
+	}
 	now := q.gateway.clock.Now()
 	q.gateway.locked(func() {
 		q.gateway.planner.RecordProgress(now, a.placementID)
--- a/internal/standin/direct/backend.go
+++ b/internal/standin/direct/backend.go
@@ -42,12 +42,14 @@
 	runs     []Run
 	arrivals int
 	orders   int
+	reports  int
 	leases   map[string]lease
 }
 
 type lease struct {
 	tokens    int64
 	expiresAt time.Time
+	used      bool
 }
 
 // NewBackend returns a backend server without a fault.
@@ -90,6 +92,13 @@
 	return b.orders
 }
 
+// Reports returns the number of questions for the server's reservations received.
+func (b *Backend) Reports() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reports
+}
+
 // Reserved returns the number of tokens that are reserved by leases that have not expired.
 func (b *Backend) Reserved() int64 {
 	b.mu.Lock()
@@ -134,10 +143,13 @@
 	}
 	b.mu.Lock()
 	fault := b.fault
-	if request.Order == nil {
-		b.arrivals++
-	} else {
+	switch {
+	case request.Report:
+		b.reports++
+	case request.Order != nil:
 		b.orders++
+	default:
+		b.arrivals++
 	}
 	b.mu.Unlock()
 	if _, vanished := fault.(Vanished); vanished {
@@ -150,6 +162,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.Report {
+		b.handleReport(w, r, fault)
+		return
+	}
 	if request.Order != nil {
 		if _, refuses := fault.(RefusesLeases); refuses && !request.Order.Release {
 			w.WriteHeader(http.StatusConflict)
@@ -186,6 +202,16 @@
 	if err != nil {
 		return
 	}
+	switch fault := fault.(type) {
+	case NeverBegins:
+		<-r.Context().Done()
+		return
+	case BeginsAfter:
+		if !b.wait(r, fault.Delay) {
+			return
+		}
+	default:
+	}
 	runIndex := b.recordRun(request, r, body)
 	platform.SetResponseHead(w.Header(), head)
 	complete := b.answer(w, r, request, fault)
@@ -238,13 +264,35 @@
 		delete(b.leases, order.Lease)
 		return
 	}
-	b.leases[order.Lease] = lease{tokens: order.Tokens, expiresAt: b.clock.Now().Add(order.Hold)}
+	b.leases[order.Lease] = lease{tokens: order.Tokens, expiresAt: b.clock.Now().Add(order.Hold), used: b.leases[order.Lease].used}
 	_, _ = io.WriteString(w, "{}")
 }
 
+// handleReport answers the question for the reservations, or leaves it without an answer.
+func (b *Backend) handleReport(w http.ResponseWriter, r *http.Request, fault ServerFault) {
+	if never, ok := fault.(NeverBegins); ok && never.NoReport {
+		<-r.Context().Done()
+		return
+	}
+	var reservations []gateway.Reservation
+	b.mu.Lock()
+	now := b.clock.Now()
+	for id, l := range b.leases {
+		if now.Before(l.expiresAt) {
+			reservations = append(reservations, gateway.Reservation{Lease: id, Used: l.used})
+		}
+	}
+	b.mu.Unlock()
+	_ = platform.WriteReport(w, reservations)
+}
+
 func (b *Backend) recordRun(request platform.BackendRequest, r *http.Request, body []byte) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l, ok := b.leases[request.Lease]; ok {
+		l.used = true
+		b.leases[request.Lease] = l
+	}
 	b.runs = append(b.runs, Run{BackendRequest: request, Path: r.URL.Path, Body: string(body), At: b.clock.Now()})
 	return len(b.runs) - 1
 }
--- a/internal/standin/direct/faults.go
+++ b/internal/standin/direct/faults.go
@@ -3,7 +3,7 @@
 import "time"
 
 // ServerFault is a fault of a backend server in handling requests. It is a sealed interface: NoFault, NeverAnswers,
-// Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents, EndsOnPart,
+// NeverBegins, BeginsAfter, Refuses, RefusesFor, RefusesLeases, Leaves, RepeatsRefusal, Errors, ClosesEarly, Pauses, Drips, NoEvents, EndsOnPart,
 // EndsOnPath, CutsHead, Unframed, Endless, Unsigned and WrongID are its only implementations.
 //
 //sumtype:decl
@@ -15,6 +15,13 @@
 // NeverAnswers means that requests run but are never answered.
 type NeverAnswers struct{}
 
+// NeverBegins means that requests are accepted and never begun, while orders are answered. With NoReport set, the server does not
+// answer the question for its reservations either.
+type NeverBegins struct{ NoReport bool }
+
+// BeginsAfter means that requests are accepted and begun after a time, in which their reserved memory is not used.
+type BeginsAfter struct{ Delay time.Duration }
+
 // Refuses means that requests are refused as not run.
 type Refuses struct{}
 
@@ -95,6 +102,8 @@
 
 func (NoFault) serverFault()        {}
 func (NeverAnswers) serverFault()   {}
+func (NeverBegins) serverFault()    {}
+func (BeginsAfter) serverFault()    {}
 func (Refuses) serverFault()        {}
 func (RefusesFor) serverFault()     {}
 func (Leaves) serverFault()         {}
