suspect: the choice of entries for a report in turn is shared

Cause: answers to requests are reported in turn by code of their own; reports of prompt parts need the same. Change: chooseInTurn is the one rule.

--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -114,7 +114,7 @@
 	incarnation  uuid.UUID
 	lastSequence uint64
 	evidence     *evidence
-	answers      map[Fingerprint]requestAnswer
+	answers      map[Fingerprint]*requestAnswer
 	probes       map[Fingerprint]requestProbe
 	// recent holds the ends that this process has recorded lately. relayed is the position of the end of all that was passed on
 	// last, and relayedQuarantined that of the end of quarantined requests.
@@ -126,7 +126,7 @@
 // NewRequestRegistry returns an empty registry. The incarnation must be a random identifier of this start of the process.
 func NewRequestRegistry(incarnation uuid.UUID) *RequestRegistry {
 	return &RequestRegistry{
-		incarnation: incarnation, evidence: newEvidence(), answers: map[Fingerprint]requestAnswer{}, probes: map[Fingerprint]requestProbe{},
+		incarnation: incarnation, evidence: newEvidence(), answers: map[Fingerprint]*requestAnswer{}, probes: map[Fingerprint]requestProbe{},
 	}
 }
 
@@ -228,7 +228,7 @@
 // clear drops the ends before an answer, and reports whether that ends the quarantine of the request.
 func (r *RequestRegistry) clear(at time.Time, f Fingerprint, own bool) bool {
 	if known, ok := r.answers[f]; !ok || at.After(known.at) {
-		r.answers[f] = requestAnswer{at: at, own: own}
+		r.answers[f] = &requestAnswer{at: at, own: own}
 	}
 	lost := r.evidence.requests[f]
 	if lost == nil {
@@ -305,7 +305,7 @@
 			r.evidence.drop(lost, func(e *end) bool { return now.Sub(e.at) > endMemory })
 		}
 	}
-	maps.DeleteFunc(r.answers, func(_ Fingerprint, a requestAnswer) bool { return now.Sub(a.at) > endMemory })
+	maps.DeleteFunc(r.answers, func(_ Fingerprint, a *requestAnswer) bool { return now.Sub(a.at) > endMemory })
 	maps.DeleteFunc(r.probes, func(_ Fingerprint, p requestProbe) bool { return !now.Before(p.ends) })
 	r.trimAnswers()
 }
--- a/internal/suspect/request_report.go
+++ b/internal/suspect/request_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -60,8 +59,7 @@
 	return report
 }
 
-// reportAnswers chooses the answers for a report. The order among those reported equally often is drawn anew for each report:
-// a process that gets only every second one would otherwise always miss the same answers.
+// reportAnswers chooses the answers for a report.
 func (r *RequestRegistry) reportAnswers(now time.Time) []RequestAnswerReport {
 	var answers []RequestAnswerReport
 	for f, a := range r.answers {
@@ -69,17 +67,7 @@
 			answers = append(answers, RequestAnswerReport{f, age})
 		}
 	}
-	rand.Shuffle(len(answers), func(i, j int) { answers[i], answers[j] = answers[j], answers[i] })
-	slices.SortStableFunc(answers, func(a, b RequestAnswerReport) int {
-		return cmp.Compare(r.answers[a.Fingerprint].reports, r.answers[b.Fingerprint].reports)
-	})
-	answers = answers[:min(len(answers), maxReportedAnswers)]
-	for _, a := range answers {
-		known := r.answers[a.Fingerprint]
-		known.reports++
-		r.answers[a.Fingerprint] = known
-	}
-	return answers
+	return chooseInTurn(answers, maxReportedAnswers, func(a RequestAnswerReport) *int { return &r.answers[a.Fingerprint].reports })
 }
 
 // suspectEnd is an end with the request that it concerns.
