suspect: evidence and quarantines of prompt parts are reported in turn

Cause: a report carries the eight newest clearances, the six newest crashes with the first four implications of each, and the six quarantines with the latest crash, in a fixed order. When more are of the same instant, the others are in no report of the 5 s in which they count: other gateways refuse a released part for up to 15 s more, or lack a crash and send a part on that ends servers. A quarantine beyond the sixth never reached a gateway that started late. Change: all four are chosen by chooseInTurn. A further answer on a part counts as new only if a crash came between; a quarantine is in the next report after a decision and after the begin of an own probe. Bounds of reports and of memory are as before. Result: the six cases of TestPartReportsInTurn and TestProbeReportedAtOnce fail without the change, and pass 30 times with -race.

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -95,8 +95,9 @@
 	server ServerKey
 	at     time.Time
 	all    []Implication
-	// own are the implications that this process has recorded itself.
-	own []Implication
+	// own are the implications that this process has recorded itself. reports counts how often the crash was reported to others.
+	own     []*ownImplication
+	reports int
 }
 
 // partQuarantine is the decision that a part ends backend servers.
@@ -109,6 +110,8 @@
 	// process, which alone reports it.
 	probeEnds time.Time
 	ownProbe  bool
+	// reports counts how often the quarantine was reported to others since the last decision or the begin of the last own probe.
+	reports int
 }
 
 func (c *partQuarantine) tentative() bool { return c.times <= 1 }
@@ -130,7 +133,7 @@
 func (c *partQuarantine) extend(now, lastCrash time.Time) {
 	c.times++
 	c.until, c.lastCrash, c.probeEnds = now.Add(min(firmTime<<min(c.times-2, 8), maxQuarantine)), lastCrash, time.Time{}
-	c.ownProbe = false
+	c.ownProbe, c.reports = false, 0
 }
 
 // PartRegistry finds parts of prompts that end the backend servers which begin an answer on them. Every crash implicates the
@@ -143,7 +146,7 @@
 	cleared map[Part]time.Time
 	// ownCleared holds the answers that this process has recorded itself. Only these are reported: passed on by others,
 	// they would become younger by the time of each transmission.
-	ownCleared  map[Part]time.Time
+	ownCleared  map[Part]*ownClearance
 	quarantined map[Part]*partQuarantine
 	// unjudged is set while there is evidence that judge has not seen.
 	unjudged bool
@@ -151,7 +154,7 @@
 
 // NewPartRegistry returns an empty registry.
 func NewPartRegistry() *PartRegistry {
-	return &PartRegistry{cleared: map[Part]time.Time{}, ownCleared: map[Part]time.Time{}, quarantined: map[Part]*partQuarantine{}}
+	return &PartRegistry{cleared: map[Part]time.Time{}, ownCleared: map[Part]*ownClearance{}, quarantined: map[Part]*partQuarantine{}}
 }
 
 // Holds reports whether one of these parts is quarantined. If not, Check returns PartsUsable.
@@ -185,7 +188,7 @@
 		return PartQuarantined{Part: part, Until: from}
 	}
 	for _, c := range found {
-		c.probeEnds, c.ownProbe = now.Add(probeTimeout), true
+		c.probeEnds, c.ownProbe, c.reports = now.Add(probeTimeout), true, 0
 	}
 	return PartProbe{Part: part}
 }
@@ -218,7 +221,7 @@
 		if !r.implicated(p) || r.cleared[p].After(began) {
 			continue
 		}
-		r.ownCleared[p] = began
+		r.recordClearance(p, began)
 		if r.clear(p, began) {
 			released = append(released, p)
 		}
@@ -268,8 +271,9 @@
 func (r *PartRegistry) RecordCrash(now time.Time, server ServerKey, implications []Implication) []Part {
 	c := r.addCrash(server, now, implications)
 	for _, i := range implications {
-		if len(c.own) < maxImplications && !slices.Contains(c.own, i) {
-			c.own = append(c.own, i)
+		known := slices.ContainsFunc(c.own, func(o *ownImplication) bool { return o.Implication == i })
+		if len(c.own) < maxImplications && !known {
+			c.own, c.reports = append(c.own, &ownImplication{Implication: i}), 0
 		}
 	}
 	return r.judge(now)
@@ -427,8 +431,8 @@
 			delete(r.cleared, p)
 		}
 	}
-	for p, at := range r.ownCleared {
-		if now.Sub(at) > reportPeriod {
+	for p, c := range r.ownCleared {
+		if now.Sub(c.at) > reportPeriod {
 			delete(r.ownCleared, p)
 		}
 	}
--- a/internal/suspect/part_report.go
+++ b/internal/suspect/part_report.go
@@ -1,10 +1,6 @@
 package suspect
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// reportPeriod is how long a crash or a clearance is reported to other processes. Each of them gets several reports in
@@ -46,47 +42,91 @@
 	Times                       int
 }
 
-// Report returns the report for other processes.
+// ownImplication is an implication that this process has recorded itself. reports counts how often it was reported to others.
+type ownImplication struct {
+	Implication
+	reports int
+}
+
+// ownClearance is the last answer on a part that this process has recorded itself. reports counts how often it was reported to
+// others since the last crash that implicates the part.
+type ownClearance struct {
+	at      time.Time
+	reports int
+}
+
+// Report returns the report for other processes: crashes and clearances that this process has recorded lately, and all quarantines.
+// If there are more than fit, they are reported in turn.
 func (r *PartRegistry) Report(now time.Time) PartReport {
 	r.expire(now)
-	var report PartReport
-	for _, c := range slices.Backward(r.crashes) {
-		if age := now.Sub(c.at); len(c.own) > 0 && age <= reportPeriod && len(report.Crashes) < maxReportedCrashes {
-			report.Crashes = append(report.Crashes, CrashReport{Server: c.server, Age: age, Implications: r.unclearedFirst(c)})
+	return PartReport{Crashes: r.reportCrashes(now), Clearances: r.reportClearances(now), Quarantines: r.reportQuarantines(now)}
+}
+
+func (r *PartRegistry) reportCrashes(now time.Time) []CrashReport {
+	var crashes []*crash
+	for _, c := range r.crashes {
+		if len(c.own) > 0 && now.Sub(c.at) <= reportPeriod {
+			crashes = append(crashes, c)
+		}
+	}
+	var reports []CrashReport
+	for _, c := range chooseInTurn(crashes, maxReportedCrashes, func(c *crash) *int { return &c.reports }) {
+		reports = append(reports, CrashReport{Server: c.server, Age: now.Sub(c.at), Implications: r.reportImplications(c)})
+	}
+	return reports
+}
+
+// reportImplications chooses among the implications of a crash that this process has recorded, those without a later answer first.
+func (r *PartRegistry) reportImplications(c *crash) []Implication {
+	var cleared, uncleared []*ownImplication
+	for _, i := range c.own {
+		if r.cleared[i.Part].Before(c.at) {
+			uncleared = append(uncleared, i)
+		} else {
+			cleared = append(cleared, i)
 		}
 	}
-	for p, at := range r.ownCleared {
-		report.Clearances = append(report.Clearances, Clearance{Part: p, Age: max(now.Sub(at), 0)})
+	count := func(i *ownImplication) *int { return &i.reports }
+	chosen := chooseInTurn(uncleared, maxReportedImplications, count)
+	chosen = append(chosen, chooseInTurn(cleared, maxReportedImplications-len(chosen), count)...)
+	implications := make([]Implication, 0, len(chosen))
+	for _, i := range chosen {
+		implications = append(implications, i.Implication)
 	}
-	slices.SortFunc(report.Clearances, func(a, b Clearance) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part)) })
-	report.Clearances = report.Clearances[:min(len(report.Clearances), maxReportedClearances)]
+	return implications
+}
+
+// recordClearance records an answer on a part that this process has seen. A further answer tells others something new only if a
+// crash came before it; else it keeps its turn in the reports, so that parts with many answers do not hold up those with few.
+func (r *PartRegistry) recordClearance(p Part, at time.Time) {
+	known := r.ownCleared[p]
+	if known == nil || r.lastCrash(p).After(known.at) {
+		r.ownCleared[p] = &ownClearance{at: at}
+		return
+	}
+	known.at = at
+}
+
+func (r *PartRegistry) reportClearances(now time.Time) []Clearance {
+	var clearances []Clearance
+	for p, c := range r.ownCleared {
+		clearances = append(clearances, Clearance{Part: p, Age: max(now.Sub(c.at), 0)})
+	}
+	return chooseInTurn(clearances, maxReportedClearances, func(c Clearance) *int { return &r.ownCleared[c.Part].reports })
+}
+
+func (r *PartRegistry) reportQuarantines(now time.Time) []QuarantineReport {
+	var quarantines []QuarantineReport
 	for p, c := range r.quarantined {
 		var probe time.Duration
 		if c.ownProbe {
 			probe = max(c.probeEnds.Sub(now), 0)
 		}
-		report.Quarantines = append(report.Quarantines, QuarantineReport{
+		quarantines = append(quarantines, QuarantineReport{
 			Part: p, Remaining: max(c.until.Sub(now), 0), LastCrash: max(now.Sub(c.lastCrash), 0), Probe: probe, Times: c.times,
 		})
 	}
-	slices.SortFunc(report.Quarantines, func(a, b QuarantineReport) int {
-		return cmp.Or(cmp.Compare(a.LastCrash, b.LastCrash), cmp.Compare(a.Part, b.Part))
-	})
-	report.Quarantines = report.Quarantines[:min(len(report.Quarantines), maxReportedQuarantines)]
-	return report
-}
-
-// unclearedFirst returns the implications of a crash that this process has recorded, those without a later answer first.
-func (r *PartRegistry) unclearedFirst(c *crash) []Implication {
-	own := slices.Clone(c.own)
-	cleared := func(i Implication) int {
-		if r.cleared[i.Part].Before(c.at) {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(own, func(a, b Implication) int { return cmp.Compare(cleared(a), cleared(b)) })
-	return own[:min(len(own), maxReportedImplications)]
+	return chooseInTurn(quarantines, maxReportedQuarantines, func(q QuarantineReport) *int { return &r.quarantined[q.Part].reports })
 }
 
 // Merge adds the report of another process. It returns the parts that are quarantined now and were not before, and those that
