dispatch, peering: the room of less urgent prompts is read in steps, and ranks are named ranks

Cause: roomFor was one long function, some comments spoke of priorities where ranks are compared, and an engine without slots would have divided by zero. Change: functions for the groups of engines and for what short and long prompts need; names; at least one slot. Result: tests of dispatch (ranks, workspaces, queue) and peering pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 	Key Key
 	// Short and Long are the numbers of outstanding requests by the class of their prompt.
 	Short, Long int
-	// Urgent is how many of them are more urgent than others for the service; zero if all have one priority.
+	// Urgent is how many of them are more urgent than others for the service; zero if they are not ranked.
 	Urgent int
 	// PendingPrefill is the pending prefill time, Memory the number of tokens held in memory.
 	PendingPrefill time.Duration
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -27,7 +27,7 @@
 	maxRunning = 8
 )
 
-// RunningShort is how many short prompts of one priority for a service a gateway has sent that have not ended.
+// RunningShort is how many short prompts of one rank for a service a gateway has sent that have not ended.
 type RunningShort struct {
 	Service  Key
 	Rank     route.Rank
@@ -99,11 +99,11 @@
 	return sum
 }
 
-// urgentWork is what long prompts of other priorities than that of a request take of the engines.
+// urgentWork is what long prompts of other ranks than that of a request take of the engines that it may use.
 type urgentWork struct {
 	// engines is the number of engines that prompts which are more urgent have taken lately.
 	engines float64
-	// pending is the prefill of prompts of other priorities that has been sent and is probably not done.
+	// pending is the prefill of prompts of other ranks that has been sent and is probably not done.
 	pending time.Duration
 }
 
@@ -170,47 +170,67 @@
 }
 
 // roomFor returns the room that more urgent requests leave to a long prompt. Engines stay free for short prompts that are more
-// urgent: as many as these use, and for as many more as arrive while a part of a prompt is prefilled. Further ones stay free for
-// long prompts that are more urgent. All gateways leave the same engines, so that these are soon free. The order of the candidates
-// is kept.
+// urgent, and further ones for long prompts that are more urgent. All gateways leave the same engines, so that these are soon free.
+// The order of the candidates is kept.
 func (p *Planner) roomFor(now time.Time, profile RequestProfile, candidates []candidate) room {
 	if !profile.yields() {
 		return room{usable: candidates, engines: len(candidates)}
 	}
-	growth := 1 + maxPart.Seconds()/p.shortTime.Seconds()
-	short := float64(p.queue.urgentShort(profile)) * growth / (packSlotShare * float64(profile.Engine.Slots))
-	long := p.urgentEngines(now, profile.Service, profile.Ranks.Least) / urgentLoad
-	withShort, withLong := 0, 0
-	var free []Key
+	e := groupEngines(candidates)
+	leftShort := min(max(p.enginesForShort(profile)-e.withShort, 0), len(e.free))
+	leftLong := min(max(p.enginesForLong(now, profile)-e.withLong, 0), len(e.free)-leftShort)
+	forShort, forLong := e.free[:leftShort], e.free[leftShort:leftShort+leftLong]
+	r := room{engines: max(len(e.free)-leftShort-leftLong, 1)}
+	r.usable = slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool {
+		return slices.Contains(forShort, c.state.key) || !profile.urgent() && slices.Contains(forLong, c.state.key)
+	})
+	if profile.urgent() {
+		r.engines += leftLong + e.withLong
+		r.preferred = slices.DeleteFunc(slices.Clone(r.usable), func(c candidate) bool {
+			return c.total.Short > 0 || c.total.Urgent == 0 && !slices.Contains(forLong, c.state.key)
+		})
+	}
+	return r
+}
+
+// enginesInUse groups the engines of a service whose requests are ranked.
+type enginesInUse struct {
+	// withShort have short prompts, withLong only long ones, some of which are more urgent than others.
+	withShort, withLong int
+	// free are the keys of the others in an order that all gateways share.
+	free []Key
+}
+
+func groupEngines(candidates []candidate) enginesInUse {
+	var e enginesInUse
 	for i := range candidates {
 		switch c := &candidates[i]; {
 		case c.total.Short > 0:
-			withShort++
+			e.withShort++
 		case c.total.Urgent > 0:
-			withLong++
+			e.withLong++
 		default:
-			free = append(free, c.state.key)
+			e.free = append(e.free, c.state.key)
 		}
 	}
-	slices.Sort(free)
-	leftShort := min(max(int(math.Ceil(short))-withShort, 0), len(free))
-	leftLong := min(max(int(math.Ceil(long))-withLong, 0), len(free)-leftShort)
-	left := free[:leftShort]
-	if !profile.urgent() {
-		left = free[:leftShort+leftLong]
-	}
-	r := room{engines: max(len(free)-len(left), 1)}
-	r.usable = slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return slices.Contains(left, c.state.key) })
-	if profile.urgent() {
-		r.engines += withLong
-		r.preferred = slices.DeleteFunc(slices.Clone(r.usable), func(c candidate) bool {
-			return c.total.Short > 0 || c.total.Urgent == 0 && !slices.Contains(free[leftShort:leftShort+leftLong], c.state.key)
-		})
-	}
-	return r
+	slices.Sort(e.free)
+	return e
+}
+
+// enginesForShort returns how many engines the short prompts that are more urgent than a long one need: those that run, and as many
+// more as arrive while a part of a prompt is prefilled.
+func (p *Planner) enginesForShort(profile RequestProfile) int {
+	growth := 1 + maxPart.Seconds()/p.shortTime.Seconds()
+	perEngine := packSlotShare * float64(max(profile.Engine.Slots, 1))
+	return int(math.Ceil(float64(p.queue.urgentShort(profile)) * growth / perEngine))
+}
+
+// enginesForLong returns how many engines the long prompts need that are more urgent than the least urgent ones.
+func (p *Planner) enginesForLong(now time.Time, profile RequestProfile) int {
+	return int(math.Ceil(p.urgentEngines(now, profile.Service, profile.Ranks.Least) / urgentLoad))
 }
 
-// urgentEngines returns how many engines the long prompts for a service that are more urgent than a priority have kept busy lately.
+// urgentEngines returns how many engines the long prompts for a service that are more urgent than a rank have kept busy lately.
 func (p *Planner) urgentEngines(now time.Time, service Key, rank route.Rank) float64 {
 	var admitted time.Duration
 	for key, w := range p.queue.work {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -24,7 +24,7 @@
 	Waited, Prefill time.Duration
 }
 
-// LongWork is the prefill of the long prompts of one priority for a service at a gateway, as time on one engine.
+// LongWork is the prefill of the long prompts of one rank for a service at a gateway, as time on one engine.
 type LongWork struct {
 	Service Key
 	Rank    route.Rank
@@ -55,7 +55,7 @@
 	changed    bool
 }
 
-// workKey identifies the requests of one priority for a service.
+// workKey identifies the requests of one rank for a service.
 type workKey struct {
 	service Key
 	rank    route.Rank
@@ -110,7 +110,7 @@
 	}
 }
 
-// ownWorkOf returns the work of this gateway of one priority for a service.
+// ownWorkOf returns the work of this gateway of one rank for a service.
 func (q *longQueue) ownWorkOf(now time.Time, key workKey) *ownWork {
 	w := q.work[key]
 	if w == nil {
@@ -162,7 +162,7 @@
 type QueueReport struct {
 	Held []HeldPrompt
 	Work []LongWork
-	// Running are the short prompts for services whose requests have different priorities.
+	// Running are the short prompts for services whose requests are ranked.
 	Running []RunningShort
 	// Workspaces are those that have got the most engine time, for services whose requests are ranked.
 	Workspaces []WorkspaceTime
@@ -218,7 +218,7 @@
 	return prompts, prefill
 }
 
-// workOf returns the work of all gateways of one priority for a service, without what is pending at this gateway.
+// workOf returns the work of all gateways of one rank for a service, without what is pending at this gateway.
 func (q *longQueue) workOf(now time.Time, key workKey) LongWork {
 	sum := LongWork{Service: key.service, Rank: key.rank}
 	if w := q.work[key]; w != nil {
@@ -258,7 +258,7 @@
 	return queued
 }
 
-// pendingLong returns the prefill of the long prompts of one priority for a service that this gateway has sent and that is
+// pendingLong returns the prefill of the long prompts of one rank for a service that this gateway has sent and that is
 // probably not done.
 func (p *Planner) pendingLong(now time.Time, key workKey) time.Duration {
 	var pending time.Duration
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -120,7 +120,7 @@
 	for i := range queued {
 		q := &queued[i]
 		if q.rank != work.Rank {
-			continue // Priority decides between them.
+			continue // The rank decides between them.
 		}
 		sent.Add(q.prefill, q.prefill)
 		q.service = float64(sent.near(q.prefill)) / float64(max(work.Admitted.near(q.prefill), 1))
@@ -131,7 +131,7 @@
 	return own
 }
 
-// goesFirst reports whether a queued prompt is sent before another one. Of one priority, the workspace that has got the least engine
+// goesFirst reports whether a queued prompt is sent before another one. Of one rank, the workspace that has got the least engine
 // time goes first.
 func goesFirst(q, other queuedPrompt) bool {
 	if q.rank != other.rank {
--- a/internal/dispatch/workspace.go
+++ b/internal/dispatch/workspace.go
@@ -38,7 +38,7 @@
 	Forfeited time.Duration
 }
 
-// workspaceKey identifies the long prompts of one workspace and priority for a service.
+// workspaceKey identifies the long prompts of one workspace and rank for a service.
 type workspaceKey struct {
 	workKey
 	workspace Key
@@ -112,7 +112,7 @@
 // demand returns what the workspace has got and waits for.
 func (u workspaceUse) demand() time.Duration { return u.sent + u.held }
 
-// workspaceUses returns what the workspaces of one priority for a service have got, without what is held.
+// workspaceUses returns what the workspaces of one rank for a service have got, without what is held.
 func (q *longQueue) workspaceUses(now time.Time, key workKey) map[Key]workspaceUse {
 	uses := map[Key]workspaceUse{}
 	add := func(workspace Key, sent, forfeited time.Duration) {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -76,9 +76,9 @@
 	// and sent, by service.
 	Held []dispatch.HeldPrompt
 	Work []dispatch.LongWork
-	// Running are the short prompts that the gateway has sent, for services whose requests have different priorities.
+	// Running are the short prompts that the gateway has sent, for services whose requests are ranked.
 	Running []dispatch.RunningShort
-	// Workspaces are those that have got the most engine time, for services whose requests have different priorities.
+	// Workspaces are those that have got the most engine time, for services whose requests are ranked.
 	Workspaces []dispatch.WorkspaceTime
 	// Paces is what the gateway has learned of the pace of backend servers.
 	Paces []dispatch.PaceReport
--- a/internal/peering/queue_messages.go
+++ b/internal/peering/queue_messages.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// maxHeld limits the held prompts in a datagram, maxWork the services and priorities whose work it holds.
+	// maxHeld limits the held prompts in a datagram, maxWork the services and ranks whose work it holds.
 	maxHeld = 12
 	maxWork = 3
-	// maxRunning limits the entries of running short prompts, by service and priority.
+	// maxRunning limits the entries of running short prompts, by service and rank.
 	maxRunning = 8
 	// workUnit is the resolution of the work by length. It is coarse because only the proportions matter.
 	workUnit = 100 * time.Millisecond
@@ -57,7 +57,7 @@
 
 func decodeRunning(messages []runningMessage) ([]dispatch.RunningShort, error) {
 	if len(messages) > maxRunning {
-		return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("running prompts of too many priorities")}
+		return nil, &Error{Op: "decode", Kind: KindMessage, Err: errors.New("running prompts of too many ranks")}
 	}
 	var running []dispatch.RunningShort
 	for _, r := range messages {
--- a/internal/peering/workspace_messages.go
+++ b/internal/peering/workspace_messages.go
@@ -12,14 +12,14 @@
 // maxWorkspaces limits the entries of engine time by workspace in a datagram.
 const maxWorkspaces = 8
 
-// workspaceMessage is the time of a workspace in the work of one priority for a service. Sent and Forfeited are in units of workUnit.
+// workspaceMessage is the time of a workspace in the work of one rank for a service. Sent and Forfeited are in units of workUnit.
 type workspaceMessage struct {
 	_               struct{} `cbor:",toarray"`
 	Workspace       uint32
 	Sent, Forfeited uint32
 }
 
-// encodeWorkspaces returns the messages for the times that workspaces have got in the work of one priority for a service.
+// encodeWorkspaces returns the messages for the times that workspaces have got in the work of one rank for a service.
 func encodeWorkspaces(work dispatch.LongWork, times []dispatch.WorkspaceTime) []workspaceMessage {
 	var messages []workspaceMessage
 	for _, w := range times {
