--- a/internal/command/surroundings_test.go
+++ b/internal/command/surroundings_test.go
@@ -49,16 +49,23 @@
 // addressCount counts the loopback addresses that freeAddress has returned.
 var addressCount atomic.Uint32
 
+// childPort is the port on which children listen.
+const childPort = 9190
+
 // freeAddress returns a free port of a loopback address that no other caller gets. Ports of 127.0.0.1 that are free now may be
 // taken, by another test or by an outgoing connection, before the process of the test listens there.
+//
+// The port is below the range from which the system takes ports: a port of that range that was free a moment ago may be taken by a
+// socket of another process that is bound to all addresses, and the child then could not listen.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	pid, n := os.Getpid(), addressCount.Add(1)
 	address := netip.AddrFrom4([4]byte{127, byte(1 + pid/256%254), byte(pid), byte(1 + n%254)})
-	l, err := net.Listen("tcp", netip.AddrPortFrom(address, 0).String())
+	free := netip.AddrPortFrom(address, childPort)
+	l, err := net.Listen("tcp", free.String())
 	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
+	return free
 }
 
 // newChild returns the process of a command, whose platform or store doesn't answer.
