standin, gateway: early responses take their headers from the codec

Cause: a header of the platform was named outside platform/. Change: EarlyResponses gets the headers, and the test of the gateway takes them from the platform's codec.

--- a/internal/backend/upload_test.go
+++ b/internal/backend/upload_test.go
@@ -49,7 +49,7 @@
 		"after the whole upload":  {-1, 0},
 	}
 	for name, reset := range resets {
-		for framing, response := range standin.EarlyResponses {
+		for framing, response := range standin.EarlyResponses(nil) {
 			for upload, size := range map[string]int{"short": 100, "long": 1 << 20} {
 				t.Run(name+", "+framing+", "+upload, func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
@@ -73,7 +73,7 @@
 // Guards against the same with the sockets of the system, whose order of events is not known: of 40 responses without a length to 8
 // MiB, 32 looked complete.
 func TestResetOfSocket(t *testing.T) {
-	for framing, response := range standin.EarlyResponses {
+	for framing, response := range standin.EarlyResponses(nil) {
 		t.Run(framing, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
@@ -106,7 +106,7 @@
 			client, server := net.Pipe()
 			go script{func(conn net.Conn, r *http.Request) bool {
 				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, standin.EarlyResponses["no length"])
+				_, _ = io.WriteString(conn, standin.EarlyResponses(nil)["no length"])
 				_ = conn.Close()
 				return false
 			}}.run(server)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -281,7 +281,7 @@
 // Guards against a part of an answer that looks complete, because the service answered a long call before it had read it, and reset
 // the connection. A socket reports a reset once, and the write of the call may get that.
 func TestResetDuringUpload(t *testing.T) {
-	for framing, response := range standin.EarlyResponses {
+	for framing, response := range standin.EarlyResponses(nil) {
 		for when, accepted := range map[string]int{"at once": 0, "within the upload": 64 << 10, "after the upload": -1} {
 			t.Run(framing+", "+when, func(t *testing.T) {
 				client := engine.New(netip.MustParseAddrPort("127.0.0.1:9"), engine.WithDialer(func(context.Context, string, string) (net.Conn, error) {
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -11,6 +11,7 @@
 
 	"berylward.example/berylward/internal/gateway"
 	"berylward.example/berylward/internal/standin"
+	"berylward.example/berylward/platform"
 )
 
 // Guards against a part of an answer that a caller takes for a complete one, because its backend server answered a long request
@@ -22,8 +23,10 @@
 		"resumable stream": {"/draft/a", "id: 1\ndata: one\n\n"},
 		"other stream":     {"/once/a", "id: 1\ndata: one\n\n"},
 	}
+	signed := http.Header{}
+	platform.SetResponseHead(signed, gateway.ResponseHead{Signed: true})
 	for name, tc := range paths {
-		for framing, response := range standin.EarlyResponses {
+		for framing, response := range standin.EarlyResponses(signed) {
 			for when, accepted := range map[string]int{"within the upload": 64 << 10, "after the upload": -1} {
 				t.Run(name+", "+framing+", "+when, func(t *testing.T) {
 					dial := func(context.Context, netip.AddrPort) (net.Conn, error) {
--- a/internal/scenario/broken_answers_test.go
+++ b/internal/scenario/broken_answers_test.go
@@ -64,7 +64,7 @@
 // Guards against a part of an answer that a caller takes for a complete one, because the service answered a long call before it had
 // read it, and closed the connection.
 func TestAnswersBeforeUploads(t *testing.T) {
-	for framing, response := range standin.EarlyResponses {
+	for framing, response := range standin.EarlyResponses(nil) {
 		t.Run(framing, func(t *testing.T) {
 			withHarness(t, []demo.Option{demo.WithEngines(1, 1)}, func(t *testing.T, h *harness) {
 				for _, s := range h.Services {
--- a/internal/standin/reset.go
+++ b/internal/standin/reset.go
@@ -3,23 +3,28 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// EarlyResponses are responses of which only a part is sent, by how their ends would be known. They have the status 200, and the
-// headers of a platform's backend server.
-var EarlyResponses = map[string]string{
-	"no length": earlyHead + "Connection: close\r\n\r\n" + earlyPart,
-	"length":    earlyHead + "Content-Length: 400\r\n\r\n" + earlyPart,
-	"chunked":   earlyHead + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + earlyPart + "\r\n",
-}
+// earlyPart is the part of the body that EarlyResponses send.
+const earlyPart = "id: 1\ndata: one\n\n"
 
-const (
-	earlyHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nResponse-Seal: seal\r\n"
-	earlyPart = "id: 1\ndata: one\n\n"
-)
+// EarlyResponses returns responses of which only a part is sent, by how their ends would be known. They have the status 200 and the
+// given headers, which may be nil.
+func EarlyResponses(header http.Header) map[string]string {
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+	_ = header.Write(&head) // a strings.Builder accepts all writes
+	return map[string]string{
+		"no length": head.String() + "Connection: close\r\n\r\n" + earlyPart,
+		"length":    head.String() + "Content-Length: 400\r\n\r\n" + earlyPart,
+		"chunked":   head.String() + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + earlyPart + "\r\n",
+	}
+}
 
 // ResetConn is a connection to a server that sends Response when the first bytes of a request arrive, and then resets the connection.
 // A socket reports a reset once. If the write of the request gets it, the next read sees a regular end.
