--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -28,7 +28,7 @@
 	ahead, allowed time.Duration
 	// wait is the predicted time until then.
 	wait time.Duration
-	// drain is the time in which the engines do what goes first now.
+	// drain is the time in which the engines do what goes first now. Unlike wait, it does not count what will arrive.
 	drain time.Duration
 }
 
@@ -60,6 +60,8 @@
 // the order of arrival: the prompt goes first whose length has got, with it, the smallest part of what was admitted. So neither
 // longer nor shorter prompts can take the engine time of the others, however many there are. While all can be served this is
 // close to the order of arrival.
+//
+// Where requests are ranked, the rank goes before this order, and within a rank the workspace that has got the least engine time.
 func (p *Planner) turn(now time.Time, profile RequestProfile, engines int) turn {
 	prefill := profile.PrefillTime()
 	work := p.queue.workOf(now, profile.workKey())
