--- a/internal/gateway/lease_use.go
+++ b/internal/gateway/lease_use.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// unusedLimit is the platform's bound (idleMaxMs) for the time that memory is reserved before a request uses it.
+	// unusedLimit is the time for which the platform lets memory be reserved before a request uses it.
 	unusedLimit = 9 * time.Second
 	// useQueryDelay is the time without an event after which the engine is first asked whether it uses the memory. Most prompts have
 	// their first event before, and a question costs the engine time.
