--- a/review/scene/client.go
+++ b/review/scene/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -32,10 +33,22 @@
 	mu    sync.Mutex
 	sent  []*sent
 	tasks sync.WaitGroup
+	// opened counts the channels that the client has opened.
+	opened int
 }
 
 func (s *stage) newClient(g *gate) *client {
-	return &client{stage: s, gate: g, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	c := &client{stage: s, gate: g}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c.mu.Lock()
+		c.opened++
+		n := c.opened
+		c.mu.Unlock()
+		s.logf("client opens channel %d to %s", n, g.name)
+		return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
+	}
+	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, DialContext: dial}}
+	return c
 }
 
 func (s *stage) newID() string {
--- a/review/scene/drill.go
+++ b/review/scene/drill.go
@@ -75,10 +75,10 @@
 		s.logf("the store comes back from the copy, in era 1")
 	}
 	back := time.Now()
-	time.Sleep(stabilityWindow + time.Second)
+	time.Sleep(stabilityWindow + 500*time.Millisecond)
 	s.store.put("op/config", build(9, 1400))
 	s.logf("the operator publishes version 9, with another timeout")
-	time.Sleep(5 * time.Second)
+	time.Sleep(4 * time.Second)
 	again := time.Now()
 	if s.trouble {
 		s.store.put("op/evacuate/pl-central-a", []byte("{}"))
--- a/review/scene/watch.go
+++ b/review/scene/watch.go
@@ -139,6 +139,7 @@
 	}
 	byID := map[string]*sent{}
 	for _, c := range clients {
+		r.note("the client of %s has opened %d channel(s)", c.gate.name, c.opened)
 		for _, q := range c.all() {
 			byID[q.id] = q
 		}
