--- a/review/scene/watch.go
+++ b/review/scene/watch.go
@@ -57,7 +57,7 @@
 	)
 	services := []map[string]any{plainService("desk-old"), plainService("desk-new")}
 	build := func(version int, service string) []byte {
-		routes := []map[string]any{plainRoute("r-check", "/check/", service, "safe", true)}
+		routes := []map[string]any{plainRoute("r-book", "/book/", service, "unsafe", true)}
 		for i := range idleRoutes {
 			routes = append(routes, plainRoute(fmt.Sprintf("r-idle-%d", i), fmt.Sprintf("/idle%d/", i), "desk-old", "safe", true))
 		}
@@ -95,7 +95,7 @@
 				case <-stop:
 					return
 				case <-time.After(100 * time.Millisecond):
-					c.send(request{method: "GET", target: "/check/1", limit: 1500 * time.Millisecond})
+					c.send(request{method: "POST", target: "/book/1", body: "one visit", limit: 1500 * time.Millisecond})
 				}
 			}
 		})
@@ -119,7 +119,7 @@
 		value := build(version, service)
 		size = len(value)
 		confirmed = s.store.put("op/config", value)
-		s.logf("the operator publishes version %d (%d bytes), route r-check to %s", version, size, service)
+		s.logf("the operator publishes version %d (%d bytes), route r-book to %s", version, size, service)
 		time.Sleep(stormGap)
 	}
 	time.Sleep(time.Until(began.Add(rejectedFor)))
@@ -149,7 +149,7 @@
 		q := byID[x.id]
 		if q != nil && q.at.After(from) {
 			last = q.at
-			r.broke("%s, sent to %s %.1f s after the confirmation of version %d and %.1f s after the store served that machine again, is run by the old service desk-old",
+			r.broke("booking %s, sent to %s %.1f s after the confirmation of version %d and %.1f s after the store served that machine again, is run by the old service desk-old",
 				q.id, q.gate, q.at.Sub(confirmed).Seconds(), version, q.at.Sub(back).Seconds())
 		}
 	}
