--- a/review/scene/cold.go
+++ b/review/scene/cold.go
@@ -63,13 +63,14 @@
 	p.cut = cut
 }
 
-// playCold cuts one of two gateways off from the other one, and starts a worker cold meanwhile.
+// playCold cuts one of three gateways off from the others, and starts a worker cold meanwhile.
 func playCold(s *stage) (*result, error) {
 	const (
 		coldPerS   = 36
 		limit      = coldPerS*1.5 + 5
 		cutFor     = 12 * time.Second
-		perGateway = 75 // requests a second
+		cutOff     = 3  // the number of the gateway that is cut off
+		perGateway = 50 // requests a second
 		coldFor    = 3 * time.Second
 		// The cold worker survives the bound, and this many requests beyond it.
 		crashMargin = 9
@@ -82,14 +83,28 @@
 		return nil, err
 	}
 	warm.work = 20 * time.Millisecond
-	a, b, seenA, seenB := s.ip(1, 1), s.ip(1, 2), s.ip(4, 1), s.ip(4, 2)
-	path, err := s.addPeerPath(a, b, seenA, seenB)
-	if err != nil {
-		return nil, err
+	// seen returns the address at which one gateway sees another one.
+	seen := func(other, by int) string { return s.ip(4, 10*other+by) }
+	var paths []*peerPath
+	for _, pair := range [][2]int{{1, 2}, {1, 3}, {2, 3}} {
+		a, b := pair[0], pair[1]
+		path, err := s.addPeerPath(s.ip(1, a), s.ip(1, b), seen(a, b), seen(b, a))
+		if err != nil {
+			return nil, err
+		}
+		if b == cutOff {
+			paths = append(paths, path)
+		}
 	}
 	var clients []*client
-	for i, peer := range []string{seenB, seenA} {
-		g, err := s.addGate(i+1, "pl-central-a", peer)
+	for i := 1; i <= 3; i++ {
+		var peers []string
+		for other := 1; other <= 3; other++ {
+			if other != i {
+				peers = append(peers, seen(other, i))
+			}
+		}
+		g, err := s.addGate(i, "pl-central-a", peers...)
 		if err != nil {
 			return nil, err
 		}
@@ -113,7 +128,7 @@
 					c.tasks.Wait()
 					return
 				case <-ticker.C:
-					if n%3 == 0 {
+					if n%2 == 0 {
 						c.spawn(request{method: "POST", target: "/book/1", body: "one visit", limit: 1500 * time.Millisecond})
 					} else {
 						c.spawn(request{method: "GET", target: "/check/1", limit: 1500 * time.Millisecond})
@@ -124,17 +139,21 @@
 	}
 	time.Sleep(3 * time.Second)
 	if s.trouble {
-		path.setCut(true)
-		s.logf("%s is cut off from %s", s.gates[1].name, s.gates[0].name)
+		for _, path := range paths {
+			path.setCut(true)
+		}
+		s.logf("%s is cut off from the other gateways", s.gates[cutOff-1].name)
 	}
 	time.Sleep(6 * time.Second)
-	cold := &worker{stage: s, id: "i-00000002", service: "desk", zone: "pl-central-a", address: fmt.Sprintf("%s:8120", s.ip(2, 2)), slots: 16, state: "ready", born: time.Now(), work: 30 * time.Millisecond, coldLeft: coldFor, crashRate: limit + crashMargin}
+	cold := &worker{stage: s, id: "i-00000002", service: "desk", zone: "pl-central-a", address: fmt.Sprintf("%s:8120", s.ip(2, 2)), slots: 16, state: "ready", born: time.Now(), work: 45 * time.Millisecond, coldLeft: coldFor, crashRate: limit + crashMargin}
 	if err := cold.listen(); err != nil {
 		return nil, err
 	}
 	started := cold.writeEntry()
 	time.Sleep(cutFor - 6*time.Second)
-	path.setCut(false)
+	for _, path := range paths {
+		path.setCut(false)
+	}
 	s.logf("the cut ends")
 	time.Sleep(2 * time.Second)
 	close(stop)
